--- a/src/bin/topazdeal-wirehost/host.rs
+++ b/src/bin/olivecart-adapter/host.rs
@@ -1,37 +1,18 @@
 //! The table of instances, and the names of the wire against the numbers of the module.
 
-use crate::wire::{Account, Batch, Element, Options, Order, Recipient, WireEvent};
+use crate::wire::{Account, Batch, Element, Order, Recipient, WireEvent};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD as BASE64;
 use rustc_hash::FxHashMap;
 use std::collections::BTreeMap;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
-use topazdeal::*;
+use olivecart::settings::{Listed, Site};
+use olivecart::*;
 
 /// Why a batch could not be played: the instance concerned and a plain message.
 pub type Fault = (u64, String);
 
-/// A name table that numbers what it has not met.
-#[derive(Default)]
-struct Names(FxHashMap<Rc<str>, u32>, Vec<Rc<str>>);
-
-impl Names {
-    fn id(&mut self, name: &str) -> u32 {
-        if let Some(&id) = self.0.get(name) {
-            return id;
-        }
-        let (name, id): (Rc<str>, u32) = (name.into(), self.1.len() as u32);
-        self.0.insert(name.clone(), id);
-        self.1.push(name);
-        id
-    }
-
-    fn get(&self, name: &str) -> Option<u32> {
-        self.0.get(name).copied()
-    }
-}
-
 /// A request until it has ended and its last attempt is accounted for.
 struct Open {
     txn: Rc<str>,
@@ -41,34 +22,18 @@
 
 struct Instance {
     balancer: Balancer,
-    endpoints: Names,
-    zones: Names,
-    kinds: Names,
-    classes: Names,
-    tenants: Names,
-    report: Vec<String>,
+    site: Site,
     ids: FxHashMap<Rc<str>, u64>,
     open: FxHashMap<u64, Open>,
     next_request: u64,
 }
 
 impl Instance {
-    fn new(options: &Options, seed: u64, now: Nanos) -> Result<Instance, String> {
-        let mut names: [Names; 3] = Default::default();
-        options.dcs.iter().for_each(|n| _ = names[0].id(n));
-        options.grades.iter().for_each(|g| _ = names[1].id(&g.name));
-        options.accounts.iter().for_each(|a| _ = names[2].id(&a.name));
-        let [mut zones, classes, tenants] = names;
-        let settings = settings(options, &mut zones)?;
-        settings.validate()?;
+    fn new(options: &str, seed: u64, now: Nanos) -> Result<Instance, String> {
+        let site = Site::read(options).map_err(|e| e.to_string())?;
         Ok(Instance {
-            balancer: Balancer::new(settings, seed, now),
-            endpoints: Names::default(),
-            zones,
-            kinds: Names::default(),
-            classes,
-            tenants,
-            report: options.report.names.clone(),
+            balancer: Balancer::new(site.settings.clone(), seed, now),
+            site,
             ids: FxHashMap::default(),
             open: FxHashMap::default(),
             next_request: 0,
@@ -84,17 +49,15 @@
                 2 => State::Draining,
                 other => return Err(format!("unknown stage-state {other}")),
             };
-            let id = self.endpoints.id(&e.endpoint);
-            entries.push(Entry {
-                id: EndpointId(id),
-                name: self.endpoints.1[id as usize].clone(),
+            entries.push(self.site.entry(&Listed {
+                name: &e.endpoint,
                 state,
-                zone: ZoneId(self.zones.id(&e.dc) as u16),
-                kind: KindId(self.kinds.id(&e.family_type) as u16),
-                cell: CellId(e.unit_group),
+                zone: &e.dc,
+                kind: &e.family_type,
+                cell: e.unit_group,
                 size: e.power_hint,
                 started: (e.started_at_ns > 0).then_some(e.started_at_ns),
-            });
+            }));
         }
         Ok(entries)
     }
@@ -118,74 +81,6 @@
         self.settle(id.0);
     }
 
-    fn load(&self, row: Option<Vec<Option<f64>>>) -> Option<Load> {
-        let row = row?;
-        let mut load = Load::default();
-        for (name, value) in self.report.iter().zip(row) {
-            let field = match name.as_str() {
-                "active" => &mut load.active,
-                "waiting" => &mut load.waiting,
-                "cpu" => &mut load.cpu,
-                "avg_ms" => &mut load.service_ms,
-                "rps" => &mut load.rate,
-                "err_rps" => &mut load.error_rate,
-                _ => continue,
-            };
-            *field = value;
-        }
-        Some(load)
-    }
-}
-
-fn settings(o: &Options, zones: &mut Names) -> Result<Settings, String> {
-    let mut s = Settings::default();
-    for g in &o.grades {
-        let effect = match (g.effect.as_str(), g.group.as_deref().unwrap_or("all")) {
-            ("repeatable", _) => Effect::Repeatable,
-            ("once", _) => Effect::Once,
-            ("by_key", group) => {
-                let group = match group {
-                    "all" => Group::All,
-                    "zone" => Group::Zone,
-                    "cell" => Group::Cell,
-                    other => return Err(format!("class {}: unknown group {other:?}", g.name)),
-                };
-                Effect::ByKey { group, window: g.window_ns.unwrap_or(0) }
-            }
-            (other, _) => return Err(format!("class {}: unknown effect {other:?}", g.name)),
-        };
-        let (aim, give_up, worth, late_worth) = (g.aim_ns, g.give_up_ns, g.worth, g.late_worth);
-        s.classes.push(Class { aim, give_up, effect, worth, late_worth, stream: g.stream });
-    }
-    s.tenants = o.accounts.iter().map(|a| Tenant { quota_per_s: a.quota_per_s, share: a.share }).collect();
-    s.me = o.me;
-    s.group_size = o.group_size.unwrap_or(o.me + 1);
-    s.tier = o.tier;
-    s.zone = ZoneId(o.zone.as_deref().map_or(0, |z| zones.id(z)) as u16);
-    s.tick = o.granularity_ns.unwrap_or(s.tick);
-    s.over_share_worth = o.over_share_worth.unwrap_or(s.over_share_worth);
-    s.worth_by_work = o.worth_by.as_deref() == Some("work");
-    s.passes_deadline = o.extra.passes_deadline.unwrap_or(s.passes_deadline);
-    s.discovery = match o.registry_mode.as_deref() {
-        None | Some("automatic") => Discovery::Automatic,
-        Some("subscribe") => Discovery::Subscribe,
-        Some(other) => return Err(format!("unknown registry-mode {other:?}")),
-    };
-    let (l, a) = (&mut s.limits, &o.allowed);
-    l.max_attempts = a.max_attempts.unwrap_or(l.max_attempts);
-    (l.second_copies, l.cancel, l.probes) = (a.second_copies, a.may_cancel, a.probes);
-    l.max_retry_after = if a.retry_after { a.max_retry_after_ns } else { 0 };
-    l.connect_timeout = a.connect_timeout_ns.unwrap_or(l.connect_timeout);
-    let (r, w) = (&mut s.rules, &o.rules);
-    r.cold_share = w.cold_share.unwrap_or(r.cold_share);
-    r.cold = w.cold_ns.unwrap_or(r.cold);
-    r.fall_multiple = w.fall_multiple.unwrap_or(r.fall_multiple);
-    r.fall = w.fall_ns.unwrap_or(r.fall);
-    r.drain_grace = w.drain_grace_ns.unwrap_or(r.drain_grace);
-    r.must_ask_in = w.must_ask_in_ns.unwrap_or(r.must_ask_in);
-    let p = &o.penalties;
-    s.prices = Prices { cross_zone: p.cross_zone, waste: p.waste, probe: p.probe, late_fail: p.late_fail };
-    Ok(s)
 }
 
 fn outcome(word: &str) -> Result<Outcome, String> {
@@ -239,9 +134,7 @@
                     catalogs.insert(c.set_id, c.elements.into_iter().map(owned).collect());
                 }
                 WireEvent::Configure(c) => {
-                    let options = serde_json::from_str(c.options.get())
-                        .map_err(|e| (c.i, format!("options of instance {}: {e}", c.i)))?;
-                    let new = || Instance::new(&options, c.seed, now);
+                    let new = || Instance::new(c.options.get(), c.seed, now);
                     let instance = guarded(new).and_then(|r| r).map_err(|e| (c.i, e))?;
                     self.instances.insert(c.i, instance);
                 }
@@ -265,11 +158,11 @@
                     })?;
                 }
                 WireEvent::Incoming(r) => self.tell(r.i, now, orders, |inst| {
-                    let Some(class) = inst.classes.get(&r.qos) else {
+                    let Some(class) = inst.site.classes.get(&r.qos) else {
                         return Err(format!("unknown class {:?}", r.qos));
                     };
                     let tenant = match &r.account {
-                        Some(Account::Name(name)) => inst.tenants.get(name).map(|t| TenantId(t as u16)),
+                        Some(Account::Name(name)) => inst.site.tenants.get(name).map(|t| TenantId(t as u16)),
                         _ => None,
                     };
                     let (id, txn): (u64, Rc<str>) = (inst.next_request, r.txn.into());
@@ -305,11 +198,11 @@
                     Ok(Some(Event::Outcome(AttemptEnd {
                         request: RequestId(id),
                         attempt: r.leg,
-                        endpoint: EndpointId(inst.endpoints.id(&r.endpoint)),
+                        endpoint: EndpointId(inst.site.endpoints.id(&r.endpoint)),
                         outcome,
                         took: r.duration_ns,
                         over: r.over,
-                        load: inst.load(r.telemetry),
+                        load: r.telemetry.map(|row| inst.site.load_row(row)),
                     })))
                 })?,
                 WireEvent::Aborted(a) => self.tell(a.i, now, orders, |inst| {
@@ -319,10 +212,10 @@
                 })?,
                 WireEvent::Health(h) => self.tell(h.i, now, orders, |inst| {
                     Ok(Some(Event::Checked {
-                        endpoint: EndpointId(inst.endpoints.id(&h.endpoint)),
+                        endpoint: EndpointId(inst.site.endpoints.id(&h.endpoint)),
                         outcome: outcome(&h.result)?,
                         took: h.duration_ns,
-                        load: inst.load(h.telemetry),
+                        load: h.telemetry.map(|row| inst.site.load_row(row)),
                     }))
                 })?,
                 WireEvent::Begun(b) => self.tell(b.i, now, orders, |inst| {
@@ -390,7 +283,7 @@
         Ok::<_, String>(open.txn.clone())
     };
     let name = |inst: &Instance, id: EndpointId| {
-        let name = inst.endpoints.1.get(id.0 as usize).ok_or("an action for an unknown endpoint")?;
+        let name = inst.site.endpoints.name(id.0).ok_or("an action for an unknown endpoint")?;
         Ok::<_, String>(name.clone())
     };
     Ok(match action {
--- a/src/bin/topazdeal-wirehost/main.rs
+++ b/src/bin/olivecart-adapter/main.rs
@@ -16,7 +16,7 @@
     match serve() {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("topazdeal-wirehost: {message}");
+            eprintln!("olivecart-adapter: {message}");
             ExitCode::FAILURE
         }
     }
--- /dev/null
+++ b/src/bin/olivecart/main.rs
@@ -0,0 +1,2 @@
+//! The real proxy.
+fn main() {}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,8 +4,8 @@
 //! clock, no threads and no sockets; the same events always give the same actions.
 //!
 //! ```
-//! use topazdeal::{Action, Balancer, Class, Entry, Event, ListChange, Settings};
-//! use topazdeal::{ClassId, EndpointId, Request, RequestId};
+//! use olivecart::{Action, Balancer, Class, Entry, Event, ListChange, Settings};
+//! use olivecart::{ClassId, EndpointId, Request, RequestId};
 //!
 //! let settings = Settings { classes: vec![Class::default()], ..Settings::default() };
 //! let mut balancer = Balancer::new(settings, 7, 0);
@@ -19,6 +19,7 @@
 mod decayed;
 mod interface;
 mod logic;
+pub mod settings;
 
 pub use interface::*;
 pub use logic::Balancer;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,4 +1,4 @@
-//! All decisions of topazdeal. Its interface (settings and events in, actions out) is `src/interface.rs`.
+//! All decisions of olivecart. Its interface (settings and events in, actions out) is `src/interface.rs`.
 //!
 //! The ordinary path is FAS: every listed endpoint is checked periodically and so marked up or down, and a
 //! call goes to the first marked-up endpoint in this instance's own preferred order, skipping one that
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A balancer with a clock, for hand-made sequences of events.
 #![allow(dead_code, reason = "each test file uses its own part")]
 
-use topazdeal::*;
+use olivecart::*;
 
 pub const MS: Nanos = 1_000_000;
 pub const S: Nanos = 1_000 * MS;
--- a/tests/invariants.rs
+++ b/tests/invariants.rs
@@ -6,7 +6,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
 use std::collections::{BTreeMap, BTreeSet};
-use topazdeal::*;
+use olivecart::*;
 
 #[derive(Clone, Debug)]
 enum Step {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use topazdeal::*;
+use olivecart::*;
 
 // ---- the mechanism ----
 
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -4,7 +4,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn play(lines: &[&str]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_topazdeal-wirehost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_olivecart-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
