--- a/src/bin/olivecart-adapter/host.rs
+++ b/src/bin/olivecart-adapter/host.rs
@@ -3,12 +3,12 @@
 use crate::wire::{Account, Batch, Element, Order, Recipient, WireEvent};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD as BASE64;
+use olivecart::settings::{Listed, Site};
+use olivecart::*;
 use rustc_hash::FxHashMap;
 use std::collections::BTreeMap;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
-use olivecart::settings::{Listed, Site};
-use olivecart::*;
 
 /// Why a batch could not be played: the instance concerned and a plain message.
 pub type Fault = (u64, String);
@@ -80,7 +80,6 @@
         }
         self.settle(id.0);
     }
-
 }
 
 fn outcome(word: &str) -> Result<Outcome, String> {
--- /dev/null
+++ b/src/bin/olivecart/backends.rs
@@ -0,0 +1,169 @@
+//! Where the endpoints are, and the connections to them.
+//!
+//! Each connection is an awc client of its own with a pool of one: which connection an attempt uses, how many
+//! are open, and when an idle one goes is then decided here and not by a pool that shares them out.
+
+use crate::wire::{Seen, Wire};
+use actix_service::fn_service;
+use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
+use awc::http::Uri;
+use awc::{Client, Connector};
+use olivecart::EndpointId;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+
+/// A connection, or the means to make one.
+pub struct Lease {
+    /// The client that holds it.
+    pub client: Client,
+    /// Where it leads.
+    pub addr: SocketAddr,
+    /// What became of it.
+    pub seen: Rc<Seen>,
+    endpoint: EndpointId,
+    /// Counts as one open connection while it lives.
+    _open: Rc<()>,
+}
+
+struct Idle {
+    lease: Lease,
+    since: Instant,
+}
+
+#[derive(Default)]
+struct Backend {
+    addr: Option<SocketAddr>,
+    started: Option<u64>,
+    ready: bool,
+    /// Most recently used last.
+    idle: Vec<Idle>,
+}
+
+/// All endpoints by number.
+pub struct Backends {
+    table: RefCell<Vec<Backend>>,
+    connect_timeout: Duration,
+    idle_life: Duration,
+    /// Most connections, idle ones included, and how many there are.
+    most: usize,
+    open: Rc<()>,
+}
+
+impl Backends {
+    /// `idle_close`: the other side closes an idle connection after this; ours go well before.
+    pub fn new(connect_timeout: Duration, idle_close: Duration, most: usize) -> Backends {
+        Backends {
+            table: RefCell::default(),
+            connect_timeout,
+            idle_life: idle_close / 2,
+            most,
+            open: Rc::default(),
+        }
+    }
+
+    /// Notes where an endpoint is. One that moved, or is another process now, has none of the old connections.
+    pub fn place(&self, endpoint: EndpointId, addr: Option<SocketAddr>, started: Option<u64>, ready: bool) {
+        let slot = endpoint.0 as usize;
+        let mut table = self.table.borrow_mut();
+        if table.len() <= slot {
+            table.resize_with(slot + 1, Backend::default);
+        }
+        let backend = &mut table[slot];
+        if backend.addr != addr || backend.started != started || !ready {
+            backend.idle.clear();
+        }
+        (backend.addr, backend.started, backend.ready) = (addr, started, ready);
+    }
+
+    /// A whole list follows: what it does not name takes no more requests.
+    pub fn forget_all(&self) {
+        self.table.borrow_mut().iter_mut().for_each(|b| b.ready = false);
+    }
+
+    /// Whether the list names an endpoint as ready.
+    pub fn takes_requests(&self, endpoint: EndpointId) -> bool {
+        self.table.borrow().get(endpoint.0 as usize).is_some_and(|b| b.ready)
+    }
+
+    /// Whether it names any.
+    pub fn any_takes_requests(&self) -> bool {
+        self.table.borrow().iter().any(|b| b.ready)
+    }
+
+    /// A connection to an endpoint: the idle one used last, or a new one. None: nobody knows where it is, or
+    /// there are no descriptors left for it.
+    pub fn lease(&self, endpoint: EndpointId) -> Option<Lease> {
+        let mut table = self.table.borrow_mut();
+        let backend = table.get_mut(endpoint.0 as usize)?;
+        let addr = backend.addr?;
+        if let Some(idle) = backend.idle.pop().filter(|idle| idle.since.elapsed() < self.idle_life) {
+            return Some(idle.lease);
+        }
+        if Rc::strong_count(&self.open) > self.most {
+            // The one that has been idle longest, of whoever has most to spare, makes room.
+            let fullest = table.iter_mut().max_by_key(|b| b.idle.len()).filter(|b| !b.idle.is_empty())?;
+            fullest.idle.remove(0);
+        }
+        Some(self.connection(endpoint, addr))
+    }
+
+    /// Takes back a connection that can carry another request, unless the endpoint is elsewhere by now.
+    pub fn give_back(&self, lease: Lease) {
+        let mut table = self.table.borrow_mut();
+        if let Some(backend) = table.get_mut(lease.endpoint.0 as usize)
+            && backend.addr == Some(lease.addr)
+        {
+            backend.idle.push(Idle { lease, since: Instant::now() });
+        }
+    }
+
+    /// Closes the idle connections to an endpoint.
+    pub fn close_idle(&self, endpoint: EndpointId) {
+        if let Some(backend) = self.table.borrow_mut().get_mut(endpoint.0 as usize) {
+            backend.idle.clear();
+        }
+    }
+
+    /// Closes what has been idle for long.
+    pub fn sweep(&self) {
+        let life = self.idle_life;
+        for backend in self.table.borrow_mut().iter_mut() {
+            backend.idle.retain(|idle| idle.since.elapsed() < life);
+        }
+    }
+
+    fn connection(&self, endpoint: EndpointId, addr: SocketAddr) -> Lease {
+        let seen = Rc::new(Seen::default());
+        Lease {
+            client: client(addr, self.connect_timeout, &seen),
+            addr,
+            seen,
+            endpoint,
+            _open: self.open.clone(),
+        }
+    }
+}
+
+/// An awc client for one address that does nothing by itself: no time-outs of its own, no redirects, no
+/// headers, and no lingering when a connection is dropped.
+pub fn client(addr: SocketAddr, connect_timeout: Duration, seen: &Rc<Seen>) -> Client {
+    let seen = seen.clone();
+    let connect = fn_service(move |info: ConnectInfo<Uri>| {
+        let seen = seen.clone();
+        async move {
+            let stream = TcpStream::connect(addr).await.map_err(ConnectError::Io)?;
+            let _ = stream.set_nodelay(true); // a hint; without it small requests wait for acknowledgements
+            Ok::<_, ConnectError>(Connection::new(info.request().clone(), Wire::new(stream, seen)))
+        }
+    });
+    let connector = Connector::new()
+        .connector(connect)
+        .timeout(connect_timeout)
+        .conn_lifetime(Duration::from_secs(86_400))
+        .conn_keep_alive(Duration::from_secs(86_400))
+        .disconnect_timeout(Duration::ZERO);
+    Client::builder().connector(connector).disable_timeout().disable_redirects().no_default_headers().finish()
+}
--- /dev/null
+++ b/src/bin/olivecart/cli.rs
@@ -0,0 +1,103 @@
+//! The command line.
+
+use crate::config::Config;
+use crate::{driver, listen, shutdown};
+use argh::FromArgs;
+use slog::{Drain, Logger, crit, info, o};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+
+/// A load-balancing proxy: one program in front of every tier.
+#[derive(FromArgs)]
+struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Serve(Serve),
+    Check(Check),
+    Version(Version),
+}
+
+/// Serve until SIGTERM. The configuration comes from EDGE_CONFIG and the other EDGE_ variables.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "serve")]
+struct Serve {
+    /// configuration file, instead of the one that EDGE_CONFIG names
+    #[argh(option)]
+    config: Option<PathBuf>,
+}
+
+/// Read the configuration, say what is wrong with it or what it amounts to, and start nothing.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+struct Check {
+    /// configuration file, instead of the one that EDGE_CONFIG names
+    #[argh(option)]
+    config: Option<PathBuf>,
+}
+
+/// Print the version.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "version")]
+struct Version {}
+
+/// Does what the command line asks for.
+pub fn run() -> ExitCode {
+    match argh::from_env::<Arguments>().command {
+        Command::Version(Version {}) => {
+            println!("olivecart {}", env!("CARGO_PKG_VERSION"));
+            ExitCode::SUCCESS
+        }
+        Command::Check(Check { config }) => match Config::from_environment(config) {
+            Ok(config) => {
+                println!("{config}");
+                ExitCode::SUCCESS
+            }
+            Err(e) => fail(&e),
+        },
+        Command::Serve(Serve { config }) => match Config::from_environment(config) {
+            Ok(config) => serve(config),
+            Err(e) => fail(&e),
+        },
+    }
+}
+
+fn fail(error: &dyn std::error::Error) -> ExitCode {
+    eprintln!("olivecart: {error}");
+    ExitCode::FAILURE
+}
+
+fn serve(config: Config) -> ExitCode {
+    // Lines go to standard error from a thread of their own; when it can't keep up they are dropped, and
+    // a reader that stalls never stalls the proxy.
+    let decorator = slog_term::PlainDecorator::new(std::io::stderr());
+    let drain = slog_term::FullFormat::new(decorator).build().fuse();
+    let (drain, guard) = slog_async::Async::new(drain).build_with_guard();
+    let log = Logger::root(drain.fuse(), o!("proxy" => config.name.clone()));
+    let done = actix_rt::System::new().block_on(async {
+        let listener = listen::bind(config.listen)?;
+        info!(log, "listening"; "on" => %config.listen, "version" => env!("CARGO_PKG_VERSION"));
+        let (listen, sockets) = (listener, config.sockets);
+        let driver = driver::Driver::start(config, log.clone());
+        let gate = Rc::new(listen::Gate::new(driver, log.clone(), sockets));
+        let front = actix_rt::spawn(listen::serve(listen, gate.clone()));
+        shutdown::on_signal(gate, log.clone()).await?;
+        front.abort();
+        Ok::<_, std::io::Error>(())
+    });
+    let code = match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            crit!(log, "stopped"; "error" => %e);
+            ExitCode::FAILURE
+        }
+    };
+    drop(log);
+    drop(guard); // writes what is still queued
+    code
+}
--- /dev/null
+++ b/src/bin/olivecart/config.rs
@@ -0,0 +1,161 @@
+//! The one place where configuration is read, given defaults and checked. Messages name the faulty key.
+
+use olivecart::settings::{SettingsError, Site};
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// Sockets kept back for discovery, the listener, the log and the runtime.
+const OWN_SOCKETS: usize = 32;
+
+/// Why there is no usable configuration.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    /// Nothing says where the file is.
+    #[error("EDGE_CONFIG: not set, and no --config was given")]
+    NoFile,
+    /// The file cannot be read.
+    #[error("EDGE_CONFIG: {path}: {error}", path = .0.display(), error = .1)]
+    Unreadable(PathBuf, std::io::Error),
+    /// The file is not of the expected form.
+    #[error("configuration: {0}: {1}")]
+    Form(String, serde_json::Error),
+    /// A value is neither in the environment nor in the file.
+    #[error("{0}: missing; it may also be given as {1}")]
+    Missing(&'static str, &'static str),
+    /// A value makes no sense.
+    #[error("{0}: {1:?} is not {2}")]
+    Value(&'static str, String, &'static str),
+    /// The settings object is unusable.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+}
+
+/// The file's keys; unknown ones are skipped.
+#[derive(Deserialize)]
+struct File<'a> {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    seed: Option<String>,
+    #[serde(default)]
+    limits: Limits,
+    #[serde(borrow)]
+    known: Option<&'a RawValue>,
+    #[serde(borrow)]
+    settings: Option<&'a RawValue>,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Limits {
+    memory_mb: f64,
+    sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { memory_mb: 192.0, sockets: 1024 }
+    }
+}
+
+/// How the descriptors are shared out.
+#[derive(Clone, Copy, Debug)]
+pub struct Sockets {
+    /// Connections that clients may hold.
+    pub clients: usize,
+    /// Connections to backends, idle ones included.
+    pub backends: usize,
+}
+
+/// Everything a proxy is told at its start.
+pub struct Config {
+    /// Its name, the same after a restart.
+    pub name: String,
+    /// The only address it listens on.
+    pub listen: SocketAddr,
+    /// Discovery's address.
+    pub discovery: SocketAddr,
+    /// Feeds all chance.
+    pub seed: u64,
+    /// Shares of the descriptor limit.
+    pub sockets: Sockets,
+    /// The list as this proxy last had it, in discovery's form.
+    pub known: Option<String>,
+    /// The settings, read.
+    pub site: Site,
+}
+
+impl Config {
+    /// Reads the file named on the command line or by EDGE_CONFIG, and the variables that override it.
+    pub fn from_environment(file: Option<PathBuf>) -> Result<Config, ConfigError> {
+        let path = file.or_else(|| std::env::var_os("EDGE_CONFIG").map(PathBuf::from));
+        let path = path.ok_or(ConfigError::NoFile)?;
+        let text = std::fs::read_to_string(&path).map_err(|e| ConfigError::Unreadable(path, e))?;
+        Config::read(&text, |name| std::env::var(name).ok())
+    }
+
+    fn read(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+        let mut reader = serde_json::Deserializer::from_str(text);
+        let file: File = serde_path_to_error::deserialize(&mut reader)
+            .map_err(|e| ConfigError::Form(e.path().to_string(), e.into_inner()))?;
+        let listen = variable("EDGE_LISTEN").or(file.listen);
+        let discovery = variable("EDGE_DISCOVERY").or(file.discovery);
+        let settings =
+            file.settings.ok_or(ConfigError::Missing("settings", "a key of EDGE_CONFIG's file"))?;
+        Ok(Config {
+            name: variable("EDGE_NAME").or(file.name).unwrap_or_else(|| "olivecart".into()),
+            listen: address("listen", "EDGE_LISTEN", listen)?,
+            discovery: address("discovery", "EDGE_DISCOVERY", discovery)?,
+            seed: seed(file.seed)?,
+            sockets: share_out(&file.limits)?,
+            known: file.known.map(|k| k.get().to_owned()),
+            site: Site::read(settings.get())?,
+        })
+    }
+}
+
+impl fmt::Display for Config {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let s = &self.site.settings;
+        writeln!(f, "name       {}", self.name)?;
+        writeln!(f, "listen     {}", self.listen)?;
+        writeln!(f, "discovery  {} ({:?})", self.discovery, s.discovery)?;
+        writeln!(
+            f,
+            "sockets    {} for clients, {} for backends",
+            self.sockets.clients, self.sockets.backends
+        )?;
+        writeln!(f, "tier       {}, copy {} of {}", s.tier, s.me, s.group_size)?;
+        write!(f, "classes    {}, tenants {}", s.classes.len(), s.tenants.len())
+    }
+}
+
+fn address(
+    key: &'static str,
+    variable: &'static str,
+    value: Option<String>,
+) -> Result<SocketAddr, ConfigError> {
+    let value = value.ok_or(ConfigError::Missing(key, variable))?;
+    value.parse().map_err(|_| ConfigError::Value(key, value, "an address and port"))
+}
+
+/// The seed is sixteen hexadecimal digits; without one, chance is fed from the clock.
+fn seed(value: Option<String>) -> Result<u64, ConfigError> {
+    let Some(value) = value else { return Ok(crate::clock::Clock::start().now()) };
+    u64::from_str_radix(&value, 16).map_err(|_| ConfigError::Value("seed", value, "a hexadecimal number"))
+}
+
+/// Most connections are clients' own; each request has one attempt out at most, and idle ones are let go.
+fn share_out(limits: &Limits) -> Result<Sockets, ConfigError> {
+    let bad = |what| Err(ConfigError::Value("limits.sockets", limits.sockets.to_string(), what));
+    if limits.memory_mb < 32.0 {
+        return Err(ConfigError::Value("limits.memory_mb", limits.memory_mb.to_string(), "32 or more"));
+    }
+    match limits.sockets.checked_sub(OWN_SOCKETS) {
+        Some(left) if left >= 32 => Ok(Sockets { clients: left * 5 / 9, backends: left - left * 5 / 9 }),
+        _ => bad("enough: 64 at least"),
+    }
+}
--- /dev/null
+++ b/src/bin/olivecart/listen.rs
@@ -0,0 +1,194 @@
+//! The clients' side: accepts connections, speaks HTTP on them, and takes each request through the stages.
+
+use crate::config::Sockets;
+use crate::driver::Driver;
+use crate::platform::client;
+use crate::stages::{Verdict, admit, intake, relay};
+use actix_http::{Extensions, HttpService, KeepAlive, Request, Response};
+use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
+use bytes::Bytes;
+use slog::{Logger, debug, warn};
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::{Notify, watch};
+
+/// A connection that sends nothing for this long is closed, before its first request or between two.
+const CLIENT_IDLE: Duration = Duration::from_secs(90);
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// What the listener and the shut-down share.
+pub struct Gate {
+    driver: Rc<Driver>,
+    log: Logger,
+    sockets: Sockets,
+    connections: Cell<usize>,
+    last_accepted: Cell<Instant>,
+    leaving: Cell<bool>,
+    closing: watch::Sender<bool>,
+}
+
+impl Gate {
+    /// An open gate.
+    pub fn new(driver: Rc<Driver>, log: Logger, sockets: Sockets) -> Gate {
+        let (connections, last_accepted) = (Cell::new(0), Cell::new(Instant::now()));
+        let (closing, leaving) = (watch::channel(false).0, Cell::new(false));
+        Gate { driver, log, sockets, connections, last_accepted, leaving, closing }
+    }
+
+    /// No longer says that it is ready.
+    pub fn leave(&self) {
+        self.leaving.set(true);
+    }
+
+    /// Answers carry `Connection: close` from now on, and idle connections are closed.
+    pub fn close(&self) {
+        self.closing.send_replace(true);
+    }
+
+    /// When the last connection was accepted.
+    pub fn last_accepted(&self) -> Instant {
+        self.last_accepted.get()
+    }
+
+    /// Connections that are open.
+    pub fn connections(&self) -> usize {
+        self.connections.get()
+    }
+}
+
+/// Listens on the one address that the configuration names.
+pub fn bind(on: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if on.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?; // a restart takes the address over from connections that linger
+    socket.bind(on)?;
+    socket.listen(BACKLOG)
+}
+
+/// Accepts connections for good.
+pub async fn serve(listener: TcpListener, gate: Rc<Gate>) {
+    let (handler_gate, closing) = (gate.clone(), gate.closing.subscribe());
+    let service = HttpService::build()
+        .keep_alive(KeepAlive::Timeout(CLIENT_IDLE))
+        .client_request_timeout(CLIENT_IDLE)
+        .client_disconnect_timeout(Duration::from_secs(1))
+        .graceful_shutdown_signal(move || {
+            let mut closing = closing.clone();
+            async move { _ = closing.wait_for(|closing| *closing).await }
+        })
+        .on_connect_ext(|io: &ClientStream, data: &mut Extensions| _ = data.insert(io.state.clone()))
+        .h1(fn_service(move |request: Request| handle(handler_gate.clone(), request)).into_factory());
+    let Ok(service) = service.new_service(()).await else {
+        return warn!(gate.log, "the HTTP service did not start");
+    };
+    let service = Rc::new(service);
+    loop {
+        let (stream, peer) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(e) => {
+                // Out of descriptors, or the peer went away at once: neither ends the proxy.
+                warn!(gate.log, "accept failed"; "error" => %e);
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                continue;
+            }
+        };
+        gate.last_accepted.set(Instant::now());
+        gate.connections.set(gate.connections.get() + 1);
+        let _ = stream.set_nodelay(true);
+        let io = ClientStream { stream, state: Rc::default() };
+        let (service, gate) = (service.clone(), gate.clone());
+        actix_rt::spawn(async move {
+            if let Err(e) = service.call((io, Some(peer))).await {
+                debug!(gate.log, "connection ended"; "error" => %e);
+            }
+            gate.connections.set(gate.connections.get() - 1);
+        });
+    }
+}
+
+async fn handle(gate: Rc<Gate>, request: Request) -> Result<Response<Bytes>, Infallible> {
+    let path = request.path();
+    if path == client::READY {
+        return Ok(client::health(gate.driver.ready() && !gate.leaving.get()));
+    }
+    if path == client::LIVE {
+        return Ok(client::health(true));
+    }
+    let state = request.conn_data::<Rc<ClientState>>().cloned().unwrap_or_default();
+    let call = match intake::take(request, &gate.driver.site).await {
+        Ok(call) => call,
+        Err(reject) => return Ok(client::rejection(&reject)),
+    };
+    // Danger: more connections than descriptors for them leave none for the backends.
+    let held =
+        if gate.connections.get() > gate.sockets.clients { None } else { admit::admit(&gate.driver, call) };
+    let Some(held) = held else {
+        let mut refusal = client::refusal(Duration::ZERO);
+        refusal.head_mut().set_connection_type(actix_http::ConnectionType::Close);
+        return Ok(refusal);
+    };
+    let verdict = relay::relay(held, state.gone()).await;
+    // Nobody reads the answer to a client that has gone.
+    Ok(client::answer(verdict.unwrap_or(Verdict::Failed)))
+}
+
+/// Whether a client is still there.
+#[derive(Default)]
+struct ClientState {
+    gone: Cell<bool>,
+    told: Notify,
+}
+
+impl ClientState {
+    async fn gone(&self) {
+        while !self.gone.get() {
+            self.told.notified().await;
+        }
+    }
+}
+
+/// A client's connection. actix-http goes on with a request whose client has closed; the stream notices it.
+struct ClientStream {
+    stream: TcpStream,
+    state: Rc<ClientState>,
+}
+
+impl AsyncRead for ClientStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let (before, room) = (buf.filled().len(), buf.remaining() > 0);
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if let Poll::Ready(result) = &polled
+            && (result.is_err() || room && buf.filled().len() == before)
+        {
+            self.state.gone.set(true);
+            self.state.told.notify_one();
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for ClientStream {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/src/bin/olivecart/main.rs
+++ b/src/bin/olivecart/main.rs
@@ -1,2 +1,23 @@
-//! The real proxy.
-fn main() {}
+//! The real proxy: the decision module on sockets.
+//!
+//! A request passes the stages in [`stages`]; [`driver`] puts what happens to the module and does what it
+//! answers; [`platform`] alone knows the names of this protocol.
+
+mod backends;
+mod cli;
+mod clock;
+mod config;
+mod discovery;
+mod driver;
+mod invariant;
+mod listen;
+mod platform;
+mod shutdown;
+mod stages;
+mod wire;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cli::run()
+}
--- /dev/null
+++ b/src/bin/olivecart/platform/client.rs
@@ -0,0 +1,187 @@
+//! What callers send and what they are told.
+
+use super::names;
+use crate::stages::{Payload, Verdict};
+use actix_http::header::{self, HeaderMap, HeaderName, HeaderValue};
+use actix_http::{Method, RequestHead, Response, ResponseBuilder, StatusCode};
+use bytes::Bytes;
+use std::time::Duration;
+
+/// Paths that the proxy answers itself.
+pub const READY: &str = "/health/ready";
+/// Whether the process runs at all.
+pub const LIVE: &str = "/health/live";
+
+/// Come-back time of a refusal for which the decisions name none.
+const COME_BACK: Duration = Duration::from_millis(250);
+
+/// Why a caller's request is not taken.
+#[derive(Debug, thiserror::Error)]
+pub enum Reject {
+    /// A header is missing or says what makes no sense.
+    #[error("{0}: {1}")]
+    Header(HeaderName, &'static str),
+    /// The method cannot be passed on.
+    #[error("method not allowed")]
+    Method,
+    /// The body is over the limit.
+    #[error("the body is larger than 65536 bytes")]
+    TooLarge,
+    /// The body did not arrive whole.
+    #[error("the body broke off")]
+    Broken,
+}
+
+impl Reject {
+    fn status(&self) -> StatusCode {
+        match self {
+            Reject::Header(..) | Reject::Broken => StatusCode::BAD_REQUEST,
+            Reject::Method => StatusCode::METHOD_NOT_ALLOWED,
+            Reject::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        }
+    }
+}
+
+/// What the decisions need of a request's head.
+pub struct Fields {
+    /// The class, by name.
+    pub class: String,
+    /// The tenant, by name.
+    pub tenant: Option<String>,
+    /// How long the client waits from its sending of the request.
+    pub left: Option<Duration>,
+    /// The client marked a repeated try.
+    pub retry: bool,
+}
+
+/// Reads the head of a request.
+pub fn fields(head: &RequestHead) -> Result<Fields, Reject> {
+    if head.method == Method::CONNECT {
+        return Err(Reject::Method);
+    }
+    let text = |name: &HeaderName| match head.headers.get(name) {
+        None => Ok(None),
+        Some(value) => value.to_str().map(Some).map_err(|_| Reject::Header(name.clone(), "not plain text")),
+    };
+    // Danger: a backend takes a request without an id for a stray one.
+    if text(&names::REQUEST_ID)?.is_none_or(str::is_empty) {
+        return Err(Reject::Header(names::REQUEST_ID, "missing"));
+    }
+    let class = text(&names::CLASS)?.ok_or(Reject::Header(names::CLASS, "missing"))?;
+    let left = match text(&names::DEADLINE)? {
+        None => None,
+        Some(value) => Some(deadline(value).ok_or(Reject::Header(
+            names::DEADLINE,
+            "not a number followed by m (milliseconds) or u (microseconds)",
+        ))?),
+    };
+    let (class, tenant) = (class.to_owned(), text(&names::TENANT)?.map(str::to_owned));
+    Ok(Fields { class, tenant, left, retry: text(&names::RETRY)? == Some("1") })
+}
+
+/// An unknown class, told as a bad header.
+pub fn unknown_class() -> Reject {
+    Reject::Header(names::CLASS, "no such class")
+}
+
+fn deadline(value: &str) -> Option<Duration> {
+    let value = value.trim();
+    let (number, unit) = value.split_at_checked(value.len().checked_sub(1)?)?;
+    if !number.bytes().all(|b| b.is_ascii_digit() || b == b'.') {
+        return None; // what else a float may look like: signs, exponents, "inf"
+    }
+    let seconds = number.parse::<f64>().ok()? * if unit == "m" { 1e-3 } else { 1e-6 };
+    // A day is longer than anybody waits; the bound keeps sums of times from running over.
+    (matches!(unit, "m" | "u") && seconds <= 86_400.0).then(|| Duration::from_secs_f64(seconds))
+}
+
+/// How long the proxy waits, in the form of the deadline header.
+pub fn deadline_text(left: Duration) -> HeaderValue {
+    HeaderValue::from_str(&format!("{}u", left.as_micros())).unwrap_or(HeaderValue::from_static("0u"))
+}
+
+/// The part of a request that goes on as it came: method, target, end-to-end headers and body.
+pub fn payload(head: &mut RequestHead, body: Bytes) -> Payload {
+    let listed: Vec<HeaderName> = head
+        .headers
+        .get_all(header::CONNECTION)
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|name| HeaderName::from_bytes(name.trim().as_bytes()).ok())
+        .collect();
+    let mut headers = std::mem::replace(&mut head.headers, HeaderMap::new());
+    for name in HOP_BY_HOP.iter().chain([&names::DEADLINE]).chain(&listed) {
+        headers.remove(name);
+    }
+    Payload { method: head.method.clone(), target: head.uri.path_and_query().cloned(), headers, body }
+}
+
+/// Headers of one connection, and those that the body's framing makes anew.
+const HOP_BY_HOP: [HeaderName; 9] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::CONTENT_LENGTH,
+    header::EXPECT,
+];
+
+/// The answer that a verdict comes to.
+pub fn answer(verdict: Verdict) -> Response<Bytes> {
+    let plain =
+        |status, text: &'static str| built(ResponseBuilder::new(status), Bytes::from_static(text.as_bytes()));
+    match verdict {
+        Verdict::Served(answer) => {
+            let mut response = ResponseBuilder::new(StatusCode::OK);
+            if let Some(kind) = answer.content_type {
+                response.insert_header((header::CONTENT_TYPE, kind));
+            }
+            built(response, answer.body)
+        }
+        Verdict::Refused { come_back } => refusal(come_back),
+        Verdict::Failed => plain(StatusCode::BAD_GATEWAY, "failed\n"),
+        Verdict::Overdue => plain(StatusCode::GATEWAY_TIMEOUT, "out of time\n"),
+    }
+}
+
+/// A refusal; trying again is harmless.
+pub fn refusal(come_back: Duration) -> Response<Bytes> {
+    let come_back = if come_back.is_zero() { COME_BACK } else { come_back };
+    let mut response = ResponseBuilder::new(StatusCode::SERVICE_UNAVAILABLE);
+    response.insert_header((header::RETRY_AFTER, format!("{:.3}", come_back.as_secs_f64())));
+    built(response, Bytes::from_static(b"refused\n"))
+}
+
+/// The answer to a request that was not taken.
+pub fn rejection(reject: &Reject) -> Response<Bytes> {
+    built(ResponseBuilder::new(reject.status()), Bytes::from(format!("{reject}\n")))
+}
+
+/// The answer to a health check.
+pub fn health(good: bool) -> Response<Bytes> {
+    let status = if good { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    built(ResponseBuilder::new(status), Bytes::from_static(if good { b"ready\n" } else { b"not ready\n" }))
+}
+
+fn built(mut response: ResponseBuilder, body: Bytes) -> Response<Bytes> {
+    response.message_body(body).unwrap_or_else(|_| Response::internal_server_error().set_body(Bytes::new()))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::deadline;
+    use std::time::Duration;
+
+    #[test]
+    fn deadlines_are_numbers_with_a_unit_and_nothing_else() {
+        assert_eq!(deadline("480m"), Some(Duration::from_millis(480)));
+        assert_eq!(deadline("1500u"), Some(Duration::from_micros(1500)));
+        assert_eq!(deadline("0.5m"), Some(Duration::from_micros(500)));
+        for bad in ["", "m", "480", "480s", "-1m", "infm", "1e9m", "NaNu", "9999999999999m", "4 8m", "é"] {
+            assert_eq!(deadline(bad), None, "{bad:?}");
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/olivecart/shutdown.rs
@@ -0,0 +1,45 @@
+//! A planned end: on SIGTERM the proxy takes what still comes, answers all it took, and goes.
+
+use crate::listen::Gate;
+use slog::{Logger, info, warn};
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::sleep;
+
+/// For so long after the signal clients are still sent here, and connections are kept for them.
+const STILL_COMING: Duration = Duration::from_millis(450);
+/// And then until none has come for this long...
+const QUIET: Duration = Duration::from_millis(150);
+/// ...but not beyond this.
+const AT_MOST: Duration = Duration::from_millis(700);
+/// All that was taken is answered at its deadline at the latest; what is left after this is stuck.
+const LONGEST: Duration = Duration::from_secs(30);
+const STEP: Duration = Duration::from_millis(10);
+
+/// Waits for SIGTERM or an interrupt, and then until nothing is left to answer.
+pub async fn on_signal(gate: Rc<Gate>, log: Logger) -> io::Result<()> {
+    let (mut term, mut interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    let began = Instant::now();
+    info!(log, "leaving"; "connections" => gate.connections());
+    gate.leave();
+    sleep(STILL_COMING).await;
+    while gate.last_accepted().elapsed() < QUIET && began.elapsed() < AT_MOST {
+        sleep(STEP).await;
+    }
+    // The listener stays open: a late connection is answered and closed rather than reset.
+    gate.close();
+    while gate.connections() > 0 && began.elapsed() < LONGEST {
+        sleep(STEP).await;
+    }
+    if gate.connections() > 0 {
+        warn!(log, "connections left at the end"; "connections" => gate.connections());
+    }
+    info!(log, "left"; "after_ms" => began.elapsed().as_millis() as u64);
+    Ok(())
+}
--- /dev/null
+++ b/src/bin/olivecart/stages/send.rs
@@ -0,0 +1,154 @@
+//! One attempt on one connection, and exactly one outcome for it.
+
+use super::book::Attempt;
+use super::{Answer, Payload};
+use crate::backends::Lease;
+use crate::driver::Driver;
+use crate::platform::{BODY_LIMIT, backend};
+use actix_http::Method;
+use actix_http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use awc::error::{ConnectError, PayloadError, SendRequestError};
+use bytes::Bytes;
+use olivecart::{AttemptEnd, EndpointId, Event, Load, Outcome, RequestId};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::time::sleep_until;
+
+/// Longest wait for a probe's answer. A probe is answered beside the queue, so that one taking longer than
+/// any round trip tells of a machine that hangs.
+const PROBE_LIMIT: Duration = Duration::from_millis(400);
+
+/// What an exchange came to.
+struct End {
+    outcome: Outcome,
+    answer: Option<Answer>,
+    load: Option<Load>,
+}
+
+impl From<Outcome> for End {
+    fn from(outcome: Outcome) -> End {
+        End { outcome, answer: None, load: None }
+    }
+}
+
+/// Runs an attempt to its end and books it.
+pub async fn attempt(driver: Rc<Driver>, mut attempt: Attempt, endpoint: EndpointId) {
+    let began = Instant::now();
+    let lease = driver.backends.lease(endpoint);
+    let exchange = exchange(&driver, lease, &attempt.payload, attempt.until);
+    let end = tokio::select! {
+        biased;
+        _ = &mut attempt.cancelled => Outcome::Cancelled.into(),
+        end = exchange => end,
+        () = sleep_until(attempt.until.into()) => Outcome::Timeout.into(),
+    };
+    // The exchange is dropped by now, and with it the connection of an attempt that was given up: only then
+    // may the decisions hear of it, since they may send the request elsewhere at once.
+    book(&driver, &attempt, endpoint, began.elapsed(), end);
+}
+
+fn book(driver: &Rc<Driver>, attempt: &Attempt, endpoint: EndpointId, took: Duration, end: End) {
+    let over = driver.book.attempt_ended(attempt.request, end.answer);
+    driver.tell(Event::Outcome(AttemptEnd {
+        request: attempt.request,
+        attempt: attempt.number,
+        endpoint,
+        outcome: end.outcome,
+        took: took.as_nanos() as u64,
+        over,
+        load: end.load,
+    }));
+}
+
+/// Books the end of an attempt that never started.
+pub fn ended(driver: &Rc<Driver>, request: RequestId, number: u32, endpoint: EndpointId, outcome: Outcome) {
+    let over = driver.book.attempt_ended(request, None);
+    let end = AttemptEnd { request, attempt: number, endpoint, outcome, took: 0, over, load: None };
+    driver.tell(Event::Outcome(end));
+}
+
+async fn exchange(driver: &Driver, lease: Option<Lease>, payload: &Payload, until: Instant) -> End {
+    let Some(lease) = lease else { return Outcome::ConnectFailed.into() };
+    let left = until.saturating_duration_since(Instant::now());
+    let request = backend::request(&lease.client, lease.addr, payload, left);
+    let bodiless = payload.body.is_empty() && matches!(payload.method, Method::GET | Method::HEAD);
+    let sent = if bodiless { request.send() } else { request.send_body(payload.body.clone()) };
+    let mut response = match sent.await {
+        Ok(response) => response,
+        Err(e) => return failure(&e).into(),
+    };
+    let body = match whole_body(&lease, &payload.method, &mut response).await {
+        Ok(body) => body,
+        Err(outcome) => return outcome.into(),
+    };
+    let outcome = backend::outcome(response.status(), response.headers());
+    let load = backend::load(response.headers());
+    let answer = (outcome == Outcome::Ok)
+        .then(|| Answer { content_type: response.headers().get(CONTENT_TYPE).cloned(), body });
+    let closes =
+        response.headers().get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
+    drop(response);
+    if !closes && !lease.seen.ended.get() {
+        driver.backends.give_back(lease);
+    }
+    End { outcome, answer, load }
+}
+
+/// What an attempt without an answer means. awc says `Disconnected` of a connection that ended while the
+/// answer was awaited: the request was written by then, so that it may have run.
+fn failure(error: &SendRequestError) -> Outcome {
+    match error {
+        SendRequestError::Connect(ConnectError::Disconnected) => Outcome::Reset,
+        SendRequestError::Connect(_) => Outcome::ConnectFailed,
+        _ => Outcome::Reset,
+    }
+}
+
+/// The body, if it came whole. awc ends a body quietly where its connection ended in the middle of it, so
+/// the length is compared, and a chunked body is not whole if the stream ended before its last chunk.
+async fn whole_body(
+    lease: &Lease,
+    method: &Method,
+    response: &mut awc::ClientResponse,
+) -> Result<Bytes, Outcome> {
+    let body = match response.body().limit(BODY_LIMIT).await {
+        Ok(body) => body,
+        Err(PayloadError::Overflow) => return Err(Outcome::Error),
+        Err(_) => return Err(Outcome::Reset),
+    };
+    let length: Option<usize> =
+        response.headers().get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.trim().parse().ok());
+    let whole = match length {
+        _ if *method == Method::HEAD => true,
+        Some(length) => body.len() == length,
+        None => !(response.headers().contains_key(TRANSFER_ENCODING) && lease.seen.ended.get()),
+    };
+    if whole { Ok(body) } else { Err(Outcome::Reset) }
+}
+
+/// Probes an endpoint and tells the decisions what came of it.
+pub async fn probe(driver: Rc<Driver>, endpoint: EndpointId) {
+    let began = Instant::now();
+    let lease = driver.backends.lease(endpoint);
+    let asked = async {
+        let Some(lease) = lease else { return Outcome::ConnectFailed.into() };
+        match backend::probe(&lease.client, lease.addr).send().await {
+            Err(e) => failure(&e).into(),
+            Ok(mut response) => match whole_body(&lease, &Method::GET, &mut response).await {
+                Err(outcome) => outcome.into(),
+                Ok(_) => {
+                    let outcome = backend::outcome(response.status(), response.headers());
+                    let load = backend::load(response.headers());
+                    drop(response);
+                    if !lease.seen.ended.get() {
+                        driver.backends.give_back(lease);
+                    }
+                    End { outcome, answer: None, load }
+                }
+            },
+        }
+    };
+    let end = tokio::time::timeout(PROBE_LIMIT, asked).await.unwrap_or_else(|_| Outcome::Timeout.into());
+    let (outcome, load) = (end.outcome, end.load);
+    driver.tell(Event::Checked { endpoint, outcome, took: began.elapsed().as_nanos() as u64, load });
+}
--- a/tests/invariants.rs
+++ b/tests/invariants.rs
@@ -3,10 +3,10 @@
 
 mod common;
 use common::*;
+use olivecart::*;
 use proptest::prelude::*;
 use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
 use std::collections::{BTreeMap, BTreeSet};
-use olivecart::*;
 
 #[derive(Clone, Debug)]
 enum Step {
