Refuse early where there is nowhere to go; scenario tests on sockets

Seen: logic.rs place() held a request until two ticks before its deadline, so that its client had no time left; a scenario on sockets waited nearly all of 3 s for its refusal. Now 0.4 of the request's time, and these refusals name a come-back time.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -35,6 +35,8 @@
 const SLOW_SHARE: f64 = 0.7;
 /// Part of the rule's multiple that the cold budget uses; the rest is margin for checks, handshakes, chance.
 const COLD_SHARE: f64 = 0.6;
+/// Part of its time for which a request is held while there is nowhere to send it.
+const HOLD_SHARE: f64 = 0.4;
 const GOLDEN: f64 = 0.618_033_988_749_894_9; // its multiples, modulo one, are spread evenly
 
 #[derive(Default)]
@@ -74,6 +76,8 @@
     scale: f64,
     work: f64,
     deadline: Nanos,
+    /// Until when it waits for somewhere to go.
+    hold: Nanos,
     tries: Vec<Try>,
     begun: bool,
 }
@@ -421,7 +425,7 @@
         if (free || self.retry_budget >= 1.0) && self.dispatch(end.request, out) {
             self.retry_budget -= if free { 0.0 } else { 1.0 };
         } else {
-            self.finish(end.request, 0, out);
+            self.finish(end.request, self.settings.limits.connect_timeout, out);
         }
     }
 
@@ -474,6 +478,7 @@
 
     /// Nothing more can be done: a refusal where it is true that trying again is harmless, else a failure.
     fn finish(&mut self, id: RequestId, come_back: Nanos, out: &mut Vec<Action>) {
+        let come_back = come_back.min(self.settings.limits.max_retry_after);
         let Some(request) = self.open.get(&id) else { return };
         let harmless = self.permit(request).shed;
         out.push(if harmless { Action::Shed { request: id, come_back } } else { Action::Fail(id) });
@@ -498,12 +503,13 @@
             scale = 0.5 + 0.5 * cost / norm.cost.max(1.0);
         }
         let (work, deadline) = (norm.mean * scale, self.now + r.left);
-        self.open.insert(r.id, Open { class, scale, work, deadline, tries: Vec::new(), begun: false });
+        let hold = self.now + (r.left as f64 * HOLD_SHARE) as Nanos;
+        self.open.insert(r.id, Open { class, scale, work, deadline, hold, tries: Vec::new(), begun: false });
         self.retry_budget = (self.retry_budget + RETRY_SHARE).min(RETRY_SAVINGS);
         let over_share = r.tenant.is_some_and(|t| self.over_share(t.0 as usize));
         let shed = if self.settings.tier == 0 { self.overloaded(class, over_share) } else { None };
         if let Some(wait) = shed {
-            self.finish(r.id, wait.min(self.settings.limits.max_retry_after), out);
+            self.finish(r.id, wait, out);
         } else {
             self.place(r.id, out);
         }
@@ -544,14 +550,15 @@
         self.norms.iter().map(|n| n.mean).sum::<f64>() / self.norms.len().max(1) as f64
     }
 
-    /// Sends a new request; where no endpoint can take it now it waits for news, never past its deadline.
+    /// Sends a new request; where no endpoint can take it now it waits for news. Danger: a client that is held
+    /// until near its deadline and then turned away has no time left to go elsewhere.
     fn place(&mut self, id: RequestId, out: &mut Vec<Action>) {
         if self.dispatch(id, out) {
             return;
         }
         let Some(request) = self.open.get(&id) else { return };
-        match request.deadline.saturating_sub(self.now + 2 * self.settings.tick) {
-            0 => self.finish(id, 0, out),
+        match request.hold.saturating_sub(self.now + 2 * self.settings.tick) {
+            0 => self.finish(id, self.settings.limits.connect_timeout, out),
             left => self.set_timer(left.min(self.settings.limits.connect_timeout), Timer::Request(id), out),
         }
     }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -185,3 +185,18 @@
     let light = Request { cost: Some(10 * MS), ..Request::new(RequestId(1001), ClassId(0), S) };
     assert!(sent(&b.tell(Event::Request(light))).is_some(), "refused for another's weight");
 }
+
+#[test]
+fn a_request_with_nowhere_to_go_is_refused_while_its_client_has_time_left_and_told_when_to_come_back() {
+    let mut settings = settings(Effect::Repeatable);
+    settings.limits.max_retry_after = 2 * S;
+    let mut b = Bench::new(settings, Vec::new());
+    let began = b.now;
+    let (_, mut actions) = b.request(4 * S);
+    while let Some(&(at, timer)) = timers(&actions).first() {
+        b.now = at;
+        actions = b.tell(Event::Timer(timer));
+    }
+    assert!(actions.iter().any(|a| matches!(a, Action::Shed { come_back: 1.., .. })), "{actions:?}");
+    assert!((S..=2 * S).contains(&(b.now - began)), "held for {} ns of 4 s", b.now - began);
+}
--- /dev/null
+++ b/tests/proxy.rs
@@ -0,0 +1,294 @@
+//! The program on sockets, one scenario for each thing it must do. The language is in `scenario/mod.rs`.
+
+mod scenario;
+use scenario::{SETTINGS, config_file, olivecart, play, play_with};
+
+#[test]
+fn what_goes_on_is_what_came_and_connections_are_used_again() {
+    play_with(
+        &["a", "b"],
+        &SETTINGS.replace("\"probes\":true", "\"probes\":false"), // which would open connections too
+        "c send POST /api/x%20y?q=1,2&q=3 X-Class=book X-Request-Id=r7 Idempotency-Key=k9 X-Tenant=t Connection=keep-alive,X-Hop X-Hop=1 X-Deadline=9000m | {\"a\": 1}
+         a expect POST /api/x%20y?q=1,2&q=3 on=new x-request-id=r7 idempotency-key=k9 x-tenant=t x-hop= x-deadline=* host=api.internal | {\"a\": 1}
+         a send 200 Content-Type=text/odd X-Load=util=0.5 | all of it
+         c expect 200 content-type=text/odd | all of it
+         c send GET /next
+         a expect GET /next on=same x-hop= x-deadline=*
+         a send 200 | two
+         c expect 200 | two",
+    );
+}
+
+#[test]
+fn bad_callers_get_a_plain_answer_and_never_reach_a_backend() {
+    let big = "x".repeat(65_537);
+    play(&format!(
+        "c send GET /1 X-Class=
+         c expect 400
+         c send GET /2 X-Class=steal
+         c expect 400
+         c send GET /3 X-Deadline=soon
+         c expect 400
+         c send GET /4 X-Request-Id=
+         c expect 400
+         c2 send POST /5 X-Class=book | {big}
+         c2 expect 413
+         c3 send raw nonsense\\r\\n\\r\\n
+         c3 expect 400
+         c4 send raw POST /6 HTTP/1.1\\r\\nX-Request-Id: r\\r\\nX-Class: view\\r\\nContent-Length: 9\\r\\n\\r\\nhalf
+         c4 close
+         c send GET /good
+         a expect GET /good
+         a send 200 | yes
+         c expect 200 | yes"
+    ));
+}
+
+#[test]
+fn a_call_that_is_safe_to_repeat_goes_to_the_next_backend_after_an_error() {
+    play(
+        "c send GET /api
+         a expect GET /api
+         a send 500
+         b expect GET /api
+         b send 200 | second
+         c expect 200 | second",
+    );
+}
+
+#[test]
+fn a_keyed_call_that_may_have_run_fails_rather_than_leave_its_cell() {
+    play(
+        "c send POST /api X-Class=book | x
+         a expect POST /api
+         a close
+         c expect 502
+         c send POST /again X-Class=book | x
+         b expect POST /again
+         b send 503
+         c expect 502",
+    );
+}
+
+#[test]
+fn a_keyed_call_that_was_turned_away_unseen_goes_elsewhere() {
+    play(
+        "c send POST /api X-Class=book | x
+         a expect POST /api
+         a send 503 X-Not-Run=1
+         b expect POST /api | x
+         b send 200 | done
+         c expect 200 | done",
+    );
+}
+
+#[test]
+fn an_answer_that_broke_off_is_not_an_answer() {
+    play(
+        "c send GET /length
+         a expect GET /length
+         a send raw HTTP/1.1 200 OK\\r\\nContent-Length: 9\\r\\n\\r\\nhalf
+         a close
+         b expect GET /length
+         b send 200 | whole
+         c expect 200 | whole
+         c send POST /chunks X-Class=book | x
+         b expect POST /chunks
+         b send raw HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n4\\r\\nhalf\\r\\n
+         b close
+         c expect 502",
+    );
+}
+
+#[test]
+fn an_answer_in_pieces_is_put_together() {
+    play(
+        "c send GET /api
+         a expect GET /api
+         a send raw HTTP/1.1 200 OK\\r\\nTransfer-Enc
+         a send raw oding: chunked\\r\\n\\r\\n4\\r\\nhalf
+         a send raw \\r\\n5\\r\\n way.\\r\\n0\\r\\n\\r\\n
+         c expect 200 content-length=9 | half way.",
+    );
+}
+
+#[test]
+fn a_refused_connection_proves_that_nothing_ran() {
+    play_with(
+        &["x", "a"],
+        SETTINGS,
+        "c send POST /1 X-Class=book | x
+         a expect POST /1
+         a send 200 | 1
+         c expect 200 | 1
+         c2 send POST /2 X-Class=book | x
+         a expect POST /2
+         a send 200 | 2
+         c2 expect 200 | 2",
+    );
+}
+
+#[test]
+fn a_client_that_goes_away_takes_its_call_along() {
+    play(
+        "c send GET /api
+         a expect GET /api
+         c close
+         a expect closed",
+    );
+}
+
+#[test]
+fn a_silent_backend_does_not_keep_the_client_from_its_one_answer() {
+    play(
+        "c send POST /api X-Class=book X-Deadline=300m | x
+         a expect POST /api
+         a expect closed
+         c expect 502
+         c send GET /api X-Deadline=0m
+         c expect 503 retry-after=*",
+    );
+}
+
+#[test]
+fn an_idle_connection_is_closed_before_the_backend_would() {
+    play_with(
+        &["a"],
+        &SETTINGS.replace("60000000000", "1000000000"),
+        "c send GET /api
+         a expect GET /api
+         a send 200 | yes
+         c expect 200 | yes
+         a expect closed",
+    );
+}
+
+#[test]
+fn a_backend_that_ends_its_connection_is_called_on_another() {
+    play_with(
+        &["a"],
+        SETTINGS,
+        "c send GET /1
+         a expect GET /1
+         a send 200 Connection=close | 1
+         a close
+         c expect 200 | 1
+         a expect closed
+         c send GET /2
+         a expect GET /2 on=new
+         a send 200 | 2
+         c expect 200 | 2",
+    );
+}
+
+#[test]
+fn the_list_is_followed_however_its_lines_are_cut() {
+    play(
+        "discovery expect GET /registry/instances?watch=1&after=41
+         discovery send raw HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n
+         c send GET /1
+         a expect GET /1
+         a send 200 | 1
+         c expect 200 | 1
+         discovery send chunk \\n{\"version\":42,\"servers\":[{\"id\":\"a-0\",\"ad
+         discovery send chunk dr\":\"@a\",\"state\":\"draining\"}]}\\n{\"
+         discovery send chunk version\":43,\"servers\":[]}\\n
+         a expect closed
+         c send GET /2
+         b expect GET /2
+         b send 200 | 2
+         c expect 200 | 2",
+    );
+}
+
+#[test]
+fn a_watch_that_ends_or_falls_silent_is_begun_anew_after_the_version_held() {
+    play(
+        "discovery expect GET /registry/instances?watch=1&after=41
+         discovery close
+         discovery expect GET /registry/instances?watch=1&after=41
+         discovery send raw HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n
+         discovery send chunk {\"version\":50,\"servers\":[]}\\n
+         discovery expect closed
+         discovery expect GET /registry/instances?watch=1&after=50",
+    );
+}
+
+#[test]
+fn with_nobody_to_send_to_a_request_is_refused_early_and_readiness_says_so() {
+    play_with(
+        &[],
+        SETTINGS,
+        "proxy expect unready
+         discovery expect GET /registry/instances?watch=1&after=41
+         discovery send raw HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n
+         c send GET /1 X-Deadline=200m
+         c expect 503 retry-after=*
+         discovery send chunk {\"version\":42,\"full\":true,\"servers\":[{\"id\":\"a-0\",\"state\":\"ready\",\"addr\":\"@a\"}]}\\n
+         proxy wait ready
+         c send GET /2
+         a expect GET /2
+         a send 200 | 2
+         c expect 200 | 2",
+    );
+}
+
+#[test]
+fn a_planned_end_answers_what_was_taken_and_closes_what_is_idle() {
+    play_with(
+        &["a", "b"],
+        &SETTINGS.replace("\"may-cancel\":true", "\"may-cancel\":false"), // or the slow call is called off
+        "c send GET /idle
+         a expect GET /idle
+         a send 200 | idle
+         c expect 200 | idle
+         c2 send GET /held
+         a expect GET /held
+         proxy send TERM
+         proxy expect unready
+         c3 send GET /late
+         b expect GET /late
+         b send 200 | late
+         c3 expect 200 | late
+         c expect closed
+         a send 200 | held
+         c2 expect 200 connection=close | held
+         c2 expect closed
+         proxy wait exit",
+    );
+}
+
+#[test]
+fn the_command_line_checks_a_configuration_and_names_the_faulty_key() {
+    let check = |config: &str| {
+        let run = olivecart("check", &config_file(config)).output().expect("it runs");
+        (
+            run.status.success(),
+            format!("{}{}", String::from_utf8_lossy(&run.stdout), String::from_utf8_lossy(&run.stderr)),
+        )
+    };
+    let whole = format!(
+        r#"{{"listen":"127.0.0.1:8081","discovery":"127.0.0.1:8500","limits":{{"sockets":1024}},"seed":"ff","settings":{SETTINGS}}}"#
+    );
+    assert_eq!(check(&whole), (true, check(&whole).1));
+    let cases = [
+        (r#""127.0.0.1:8081""#, r#""nowhere""#, "listen"),
+        (r#""discovery":"#, r#""discoverie":"#, "discovery"),
+        (r#""ff""#, r#""xx""#, "seed"),
+        ("1024", "40", "limits.sockets"),
+        (r#""settings":"#, r#""setting":"#, "settings"),
+        (r#""grades":"#, r#""grade":"#, "grades"),
+        (r#""name":"book","aim-ns":20000000000,"#, r#""name":"book","#, "aim-ns"),
+        (r#""by_key""#, r#""by_luck""#, "grades[1].effect"),
+        (r#","window-ns":10000000000"#, "", "grades[1].window-ns"),
+        (r#""automatic""#, r#""sometimes""#, "registry-mode"),
+        (r#""tier":0"#, r#""tier":"zero""#, "tier"),
+    ];
+    for (right, wrong, key) in cases {
+        assert!(whole.contains(right), "{right}");
+        let (good, message) = check(&whole.replacen(right, wrong, 1));
+        assert!(!good && message.contains(key), "{key}: {message}");
+    }
+    let version = olivecart("version", std::path::Path::new("")).output().expect("it runs");
+    assert!(String::from_utf8_lossy(&version.stdout).starts_with("olivecart "));
+}
--- /dev/null
+++ b/tests/scenario/mod.rs
@@ -0,0 +1,365 @@
+//! A small language for tests on sockets. Each line is one step: who, what, and the particulars.
+//!
+//! ```text
+//! c send POST /api X-Class=book | body     a client sends a request (on its connection, if it has one)
+//! a expect POST /api | body                the next call that arrives at backend a
+//! a send 200 | answer                      its answer; `send raw TEXT`, `send chunk TEXT` for less or worse
+//! c expect 200 | answer                    the client's answer; NAME=* asks only for a header's presence
+//! c close                                  closes a connection; `expect closed` waits for the other side's
+//! proxy wait ready                         waits for an event: `ready`, or the `exit` of the program
+//! ```
+//!
+//! Clients are `c`, `c2`...; backends `a` and `b` answer probes by themselves, `a` is the preferred one, and a
+//! call is `on=same` or `on=new` connection; `x` comes before `a` but refuses connections; `discovery` is a
+//! peer like a backend. Nothing sleeps: every wait is for an event.
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::{Duration, Instant};
+
+/// Longer than anything takes on any machine; a test that gets here has failed.
+const NEVER: Duration = Duration::from_secs(60);
+
+pub const SETTINGS: &str = r#"{"a-key-of-tomorrow":[1],"dcs":["z"],"zone":"z","me":0,"group-size":1,"tier":0,
+"registry-mode":"automatic","granularity-ns":1000000,"accounts":[{"name":"t","share":1.0,"quota-per-s":100.0}],
+"allowed":{"may-cancel":true,"probes":true,"max-attempts":3,"second-copies":false,"retry-after":true,
+"max-retry-after-ns":2000000000,"connect-timeout-ns":2000000000,"idle-close-ns":60000000000},
+"rules":{"must-ask-in-ns":10000000000},"report":{"names":["cpu"],"source":"answers"},"grades":[
+{"name":"view","aim-ns":20000000000,"give-up-ns":50000000000,"effect":"repeatable"},
+{"name":"book","aim-ns":20000000000,"give-up-ns":50000000000,"effect":"by_key","group":"cell","window-ns":10000000000}]}"#;
+
+/// Plays a scenario with backends `a` and `b`, in cells of their own.
+pub fn play(text: &str) {
+    play_with(&["a", "b"], SETTINGS, text);
+}
+
+/// Plays a scenario with these backends in the known list, and these settings.
+pub fn play_with(known: &[&str], settings: &str, text: &str) {
+    let mut stage = Stage::set(known, settings);
+    for line in text.lines().map(str::trim).filter(|l| !l.is_empty()) {
+        if let Err(what) = stage.step(line) {
+            panic!("at `{line}`: {what}");
+        }
+    }
+}
+
+/// One message: its first line without the version, headers in lower case, and the body.
+struct Message {
+    first: String,
+    headers: HashMap<String, String>,
+    body: String,
+}
+
+fn read_message(from: &mut impl BufRead) -> std::io::Result<Option<Message>> {
+    let (mut lines, mut line) = (Vec::new(), String::new());
+    while from.read_line(&mut line)? > 0 && !line.trim().is_empty() {
+        lines.push(std::mem::take(&mut line).trim_end().to_owned());
+    }
+    if lines.is_empty() {
+        return Ok(None);
+    }
+    let first = lines.remove(0).replace(" HTTP/1.1", "").replace("HTTP/1.1 ", "");
+    let header = |l: String| l.split_once(": ").map(|(n, v)| (n.to_lowercase(), v.to_owned()));
+    let headers: HashMap<_, _> = lines.into_iter().filter_map(header).collect();
+    let length = headers.get("content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    from.read_exact(&mut body)?;
+    Ok(Some(Message { first, headers, body: String::from_utf8_lossy(&body).into_owned() }))
+}
+
+/// Whether a message is what the particulars ask for.
+fn compare(got: &Message, wanted: &Wanted) -> Result<(), String> {
+    if !format!("{} ", got.first).starts_with(&format!("{} ", wanted.first)) {
+        return Err(format!("got `{}` with {:?} | {}", got.first, got.headers, got.body));
+    }
+    for (name, value) in &wanted.headers {
+        match got.headers.get(&name.to_lowercase()) {
+            None if value.is_empty() => {}
+            Some(got) if value == "*" || got == value => {}
+            other => return Err(format!("header {name} is {other:?}")),
+        }
+    }
+    match &wanted.body {
+        Some(body) if *body != got.body => Err(format!("body is {:?}", got.body)),
+        _ => Ok(()),
+    }
+}
+
+/// The particulars of a step: words, NAME=VALUE headers, and a body after a bar.
+struct Wanted {
+    first: String,
+    headers: Vec<(String, String)>,
+    body: Option<String>,
+}
+
+impl Wanted {
+    fn parse(text: &str) -> Wanted {
+        let (head, body) = match text.split_once(" | ") {
+            Some((head, body)) => (head, Some(unescape(body))),
+            None => (text, None),
+        };
+        let is_header = |w: &&str| w.contains('=') && !w.starts_with('/');
+        let (headers, words): (Vec<&str>, Vec<&str>) = head.split_whitespace().partition(is_header);
+        let pair = |w: &str| w.split_once('=').map(|(n, v)| (n.to_owned(), v.to_owned()));
+        Wanted { first: words.join(" "), headers: headers.into_iter().filter_map(pair).collect(), body }
+    }
+
+    fn header_lines(&self) -> String {
+        let given = self.headers.iter().filter(|(_, v)| !v.is_empty());
+        given.map(|(n, v)| format!("{n}: {v}\r\n")).collect()
+    }
+}
+
+fn unescape(text: &str) -> String {
+    text.replace("\\r", "\r").replace("\\n", "\n")
+}
+
+enum Arrival {
+    Call(Message, u32, TcpStream),
+    Closed(u32),
+}
+
+/// A scripted peer of the proxy.
+struct Peer {
+    addr: SocketAddr,
+    arrivals: Receiver<Arrival>,
+    /// Arrived and not yet asked for.
+    waiting: Vec<Arrival>,
+    current: Option<(u32, TcpStream)>,
+}
+
+impl Peer {
+    fn new() -> Peer {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let (addr, (sender, arrivals)) = (listener.local_addr().expect("bound"), channel());
+        std::thread::spawn(move || {
+            for (number, stream) in (1..).zip(listener.incoming().map_while(Result::ok)) {
+                let sender = sender.clone();
+                std::thread::spawn(move || listen(stream, number, &sender));
+            }
+        });
+        Peer { addr, arrivals, waiting: Vec::new(), current: None }
+    }
+
+    fn next<T>(
+        &mut self,
+        wanted: impl Fn(&Arrival) -> bool,
+        take: impl Fn(Arrival) -> T,
+    ) -> Result<T, String> {
+        let end = Instant::now() + NEVER;
+        loop {
+            if let Some(at) = self.waiting.iter().position(&wanted) {
+                return Ok(take(self.waiting.remove(at)));
+            }
+            let left = end.saturating_duration_since(Instant::now());
+            self.waiting.push(self.arrivals.recv_timeout(left).map_err(|_| "nothing came")?);
+        }
+    }
+
+    fn step(&mut self, verb: &str, rest: &str) -> Result<(), String> {
+        let (number, stream) = match &self.current {
+            Some((number, stream)) => (*number, Some(stream)),
+            None => (0, None),
+        };
+        match (verb, rest) {
+            ("expect", "closed") => self.next(|a| matches!(a, Arrival::Closed(n) if *n == number), drop),
+            ("expect", _) => {
+                let call = self.next(|a| matches!(a, Arrival::Call(..)), |a| a)?;
+                let Arrival::Call(message, number, stream) = call else { return Ok(()) };
+                let before = self.current.replace((number, stream)).map(|(number, _)| number);
+                let mut wanted = Wanted::parse(rest);
+                if let Some(at) = wanted.headers.iter().position(|(name, _)| name == "on")
+                    && (wanted.headers.remove(at).1 == "same") != (before == Some(number))
+                {
+                    return Err(format!("on connection {number} after {before:?}"));
+                }
+                compare(&message, &wanted)
+            }
+            ("send", _) => {
+                let text = match (rest.strip_prefix("raw "), rest.strip_prefix("chunk ")) {
+                    (Some(raw), _) => unescape(raw),
+                    (_, Some(chunk)) => format!("{:x}\r\n{}\r\n", unescape(chunk).len(), unescape(chunk)),
+                    _ => {
+                        let answer = Wanted::parse(rest);
+                        let body = answer.body.clone().unwrap_or_default();
+                        let (status, headers) = (&answer.first, answer.header_lines());
+                        format!(
+                            "HTTP/1.1 {status} X\r\nContent-Length: {}\r\n{headers}\r\n{body}",
+                            body.len()
+                        )
+                    }
+                };
+                let mut stream = stream.ok_or("no connection")?;
+                stream.write_all(text.as_bytes()).map_err(|e| e.to_string())
+            }
+            ("close", _) => {
+                stream.ok_or("no connection")?.shutdown(Shutdown::Both).map_err(|e| e.to_string())
+            }
+            _ => Err("no such step".into()),
+        }
+    }
+}
+
+/// Reads what comes on one connection of a peer; probes are answered here.
+fn listen(stream: TcpStream, number: u32, arrivals: &Sender<Arrival>) {
+    let Ok(mut reader) = stream.try_clone().map(BufReader::new) else { return };
+    while let Ok(Some(message)) = read_message(&mut reader) {
+        let Ok(mut writer) = stream.try_clone() else { return };
+        if message.first == "GET /health/live" {
+            let _ = writer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        } else if arrivals.send(Arrival::Call(message, number, writer)).is_err() {
+            return;
+        }
+    }
+    let _ = arrivals.send(Arrival::Closed(number));
+}
+
+/// The program with its scripted peers and clients.
+struct Stage {
+    program: Child,
+    listen: SocketAddr,
+    peers: HashMap<String, Peer>,
+    clients: HashMap<String, BufReader<TcpStream>>,
+}
+
+/// Where nobody listens: the port was free a moment ago.
+fn free_port() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("bound")
+}
+
+pub fn config_file(text: &str) -> std::path::PathBuf {
+    static NUMBER: AtomicU32 = AtomicU32::new(0);
+    let name = format!("{}-{}.json", std::process::id(), NUMBER.fetch_add(1, Ordering::Relaxed));
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, text).expect("written");
+    path
+}
+
+pub fn olivecart(command: &str, config: &std::path::Path) -> Command {
+    let mut program = Command::new(env!("CARGO_BIN_EXE_olivecart"));
+    program.arg(command).env("EDGE_CONFIG", config);
+    ["EDGE_NAME", "EDGE_LISTEN", "EDGE_DISCOVERY"].iter().for_each(|name| _ = program.env_remove(name));
+    program
+}
+
+impl Stage {
+    fn set(known: &[&str], settings: &str) -> Stage {
+        let names = ["a", "b", "discovery"];
+        let peers: HashMap<_, _> = names.iter().map(|n| (n.to_string(), Peer::new())).collect();
+        let listen = free_port();
+        let server = |(cell, name): (usize, &&str)| {
+            let addr = peers.get(*name).map_or_else(free_port, |p| p.addr);
+            format!(r#"{{"id":"{name}-0","addr":"{addr}","state":"ready","zone":"z","cell":{cell}}}"#)
+        };
+        let servers: Vec<_> = known.iter().enumerate().map(server).collect();
+        let config = config_file(&format!(
+            r#"{{"name":"n1","listen":"{listen}","discovery":"{}","seed":"8c1f30d27a5be964","later":1,
+            "limits":{{"sockets":256}},"known":{{"version":41,"full":true,"servers":[{}]}},"settings":{settings}}}"#,
+            peers["discovery"].addr,
+            servers.join(",")
+        ));
+        let program = olivecart("serve", &config).stderr(Stdio::null()).spawn().expect("the program starts");
+        let stage = Stage { program, listen, peers, clients: HashMap::new() };
+        stage.answers("/health/live", "200").expect("it starts");
+        stage
+    }
+
+    /// Waits until a path is answered with a status.
+    fn answers(&self, path: &str, status: &str) -> Result<(), String> {
+        let end = Instant::now() + NEVER;
+        while Instant::now() < end {
+            if let Ok(mut stream) = TcpStream::connect(self.listen) {
+                let _ = write!(stream, "GET {path} HTTP/1.1\r\nHost: p\r\nConnection: close\r\n\r\n");
+                if let Ok(Some(message)) = read_message(&mut BufReader::new(stream))
+                    && message.first.starts_with(status)
+                {
+                    return Ok(());
+                }
+            }
+            std::thread::yield_now();
+        }
+        Err(format!("never {status}"))
+    }
+
+    fn step(&mut self, line: &str) -> Result<(), String> {
+        let mut words = line.splitn(3, ' ');
+        let (who, verb, rest) = (words.next(), words.next(), words.next().unwrap_or_default());
+        let (who, verb) = (who.unwrap_or_default(), verb.unwrap_or_default());
+        match (who, verb, rest) {
+            ("proxy", "wait", "ready") => self.answers("/health/ready", "200"),
+            ("proxy", "expect", "unready") => self.answers("/health/ready", "503"),
+            ("proxy", "send", "TERM") => {
+                let kill = Command::new("kill").args(["-TERM", &self.program.id().to_string()]).status();
+                kill.map_err(|e| e.to_string()).map(drop)
+            }
+            ("proxy", "wait", "exit") => {
+                let status = self.program.wait().map_err(|e| e.to_string())?;
+                if status.success() { Ok(()) } else { Err(status.to_string()) }
+            }
+            _ if self.peers.contains_key(who) => {
+                // Addresses in what discovery says are written @NAME.
+                let at = |text: String, (name, peer): (&String, &Peer)| {
+                    text.replace(&format!("@{name}"), &peer.addr.to_string())
+                };
+                let rest = self.peers.iter().fold(rest.to_owned(), at);
+                self.peers.get_mut(who).ok_or("no such peer")?.step(verb, &rest)
+            }
+            _ if who.starts_with('c') => self.client(who, verb, rest),
+            _ => Err("no such step".into()),
+        }
+    }
+
+    fn client(&mut self, who: &str, verb: &str, rest: &str) -> Result<(), String> {
+        let plain = |e: std::io::Error| e.to_string();
+        if verb == "send" && !self.clients.contains_key(who) {
+            let stream = TcpStream::connect(self.listen).map_err(plain)?;
+            stream.set_read_timeout(Some(NEVER)).map_err(plain)?;
+            self.clients.insert(who.to_owned(), BufReader::new(stream));
+        }
+        let link = self.clients.get_mut(who).ok_or("not connected")?;
+        match (verb, rest) {
+            ("send", _) => {
+                let text = match rest.strip_prefix("raw ") {
+                    Some(raw) => unescape(raw),
+                    None => request(Wanted::parse(rest)),
+                };
+                link.get_mut().write_all(text.as_bytes()).map_err(plain)
+            }
+            ("expect", "closed") => match link.read(&mut [0; 1]) {
+                Ok(0) => self.clients.remove(who).map(drop).ok_or_else(String::new),
+                Err(e) if e.kind() == ErrorKind::ConnectionReset => Ok(()),
+                other => Err(format!("not closed: {other:?}")),
+            },
+            ("expect", _) => {
+                let message = read_message(link).map_err(plain)?.ok_or("closed without an answer")?;
+                compare(&message, &Wanted::parse(rest))
+            }
+            ("close", _) => self.clients.remove(who).map(drop).ok_or_else(String::new),
+            _ => Err("no such step".into()),
+        }
+    }
+}
+
+/// A client's request; what every request carries is there unless it is given, or given as empty.
+fn request(mut wanted: Wanted) -> String {
+    for (name, value) in [("Host", "api.internal"), ("X-Request-Id", "r1"), ("X-Class", "view")] {
+        if !wanted.headers.iter().any(|(n, _)| n == name) {
+            wanted.headers.push((name.into(), value.into()));
+        }
+    }
+    let length = wanted.body.as_ref().map_or(String::new(), |b| format!("Content-Length: {}\r\n", b.len()));
+    let (first, headers, body) = (&wanted.first, wanted.header_lines(), wanted.body.as_deref().unwrap_or(""));
+    format!("{first} HTTP/1.1\r\n{headers}{length}\r\n{body}")
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        let _ = self.program.kill(); // ended already, in the scenarios that wait for it
+        let _ = self.program.wait();
+    }
+}
