--- a/src/logic.rs
+++ b/src/logic.rs
@@ -264,8 +264,13 @@
         self.schedule_check(slot, wait, out);
     }
 
+    /// When an endpoint that was found down is looked at again: before then there is little use in asking.
+    fn soon(&self) -> Nanos {
+        self.settings.rules.must_ask_in / 8
+    }
+
     fn checked(&mut self, id: EndpointId, outcome: Outcome, out: &mut Vec<Action>) {
-        let (slot, now, soon) = (id.0 as usize, self.now, self.settings.rules.must_ask_in / 8);
+        let (slot, now, soon) = (id.0 as usize, self.now, self.soon());
         let Some(e) = self.endpoints.get_mut(slot) else { return };
         e.up = outcome == Outcome::Ok;
         if e.up {
@@ -425,7 +430,7 @@
         if (free || self.retry_budget >= 1.0) && self.dispatch(end.request, out) {
             self.retry_budget -= if free { 0.0 } else { 1.0 };
         } else {
-            self.finish(end.request, self.settings.limits.connect_timeout, out);
+            self.finish(end.request, self.soon(), out);
         }
     }
 
@@ -558,7 +563,7 @@
         }
         let Some(request) = self.open.get(&id) else { return };
         match request.hold.saturating_sub(self.now + 2 * self.settings.tick) {
-            0 => self.finish(id, self.settings.limits.connect_timeout, out),
+            0 => self.finish(id, self.soon(), out),
             left => self.set_timer(left.min(self.settings.limits.connect_timeout), Timer::Request(id), out),
         }
     }
