--- a/src/bin/olivecart/backends.rs
+++ b/src/bin/olivecart/backends.rs
@@ -110,11 +110,13 @@
         Some(self.connection(endpoint, addr))
     }
 
-    /// Takes back a connection that can carry another request, unless the endpoint is elsewhere by now.
+    /// Takes back a connection that can carry another request, unless the endpoint is elsewhere by now or
+    /// takes no more requests.
     pub fn give_back(&self, lease: Lease) {
         let mut table = self.table.borrow_mut();
         if let Some(backend) = table.get_mut(lease.endpoint.0 as usize)
             && backend.addr == Some(lease.addr)
+            && backend.ready
         {
             backend.idle.push(Idle { lease, since: Instant::now() });
         }
@@ -131,7 +133,8 @@
     pub fn sweep(&self) {
         let life = self.idle_life;
         for backend in self.table.borrow_mut().iter_mut() {
-            backend.idle.retain(|idle| idle.since.elapsed() < life);
+            let ready = backend.ready;
+            backend.idle.retain(|idle| ready && idle.since.elapsed() < life);
         }
     }
 
--- a/src/bin/olivecart/discovery.rs
+++ b/src/bin/olivecart/discovery.rs
@@ -7,7 +7,7 @@
 use awc::http::Uri;
 use bytes::BytesMut;
 use futures_util::StreamExt;
-use olivecart::{Event, ListChange};
+use olivecart::{Entry, Event, ListChange};
 use slog::{Logger, debug, info};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -44,6 +44,16 @@
     Closed,
 }
 
+/// A list or a change of it, in the module's numbers, with the addresses that the module never sees.
+pub struct News {
+    /// The version it brings the list to.
+    pub version: u64,
+    /// The whole list.
+    pub full: bool,
+    /// The entries, and where each is reached; none for one that cannot be reached.
+    pub entries: Vec<(Entry, Option<SocketAddr>)>,
+}
+
 /// The way to discovery.
 pub struct Discovery {
     addr: SocketAddr,
--- a/src/bin/olivecart/driver.rs
+++ b/src/bin/olivecart/driver.rs
@@ -3,9 +3,9 @@
 use crate::backends::Backends;
 use crate::clock::Clock;
 use crate::config::Config;
-use crate::discovery::Discovery;
+use crate::discovery::{Discovery, News};
 use crate::invariant::{must, take_broken};
-use crate::platform::registry::{self, News};
+use crate::platform::registry;
 use crate::stages::{Verdict, book::Book, route, send};
 use olivecart::settings::Site;
 use olivecart::{Action, Balancer, Discovery as Mode, Event, ListChange, Nanos, State, Timer};
--- a/src/bin/olivecart/listen.rs
+++ b/src/bin/olivecart/listen.rs
@@ -4,17 +4,17 @@
 use crate::driver::Driver;
 use crate::platform::client;
 use crate::stages::{Verdict, admit, intake, relay};
-use actix_http::{Extensions, HttpService, KeepAlive, Request, Response};
+use actix_http::{ConnectionType, Extensions, HttpService, KeepAlive, Request, Response};
 use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
 use bytes::Bytes;
 use slog::{Logger, debug, warn};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::rc::{Rc, Weak};
+use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -22,6 +22,8 @@
 
 /// A connection that sends nothing for this long is closed, before its first request or between two.
 const CLIENT_IDLE: Duration = Duration::from_secs(90);
+/// Connections over the clients' share that are still accepted, to be told so.
+const OVER_SHARE: usize = 16;
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
 
@@ -31,6 +33,8 @@
     log: Logger,
     sockets: Sockets,
     connections: Cell<usize>,
+    states: RefCell<Vec<Weak<ClientState>>>,
+    ended: Notify,
     last_accepted: Cell<Instant>,
     leaving: Cell<bool>,
     closing: watch::Sender<bool>,
@@ -41,7 +45,26 @@
     pub fn new(driver: Rc<Driver>, log: Logger, sockets: Sockets) -> Gate {
         let (connections, last_accepted) = (Cell::new(0), Cell::new(Instant::now()));
         let (closing, leaving) = (watch::channel(false).0, Cell::new(false));
-        Gate { driver, log, sockets, connections, last_accepted, leaving, closing }
+        let (states, ended) = (RefCell::default(), Notify::new());
+        Gate { driver, log, sockets, connections, states, ended, last_accepted, leaving, closing }
+    }
+
+    /// Notes a new connection. Where that is more than the clients' share, those between two requests are
+    /// closed: their clients open another when they need one.
+    fn enter(&self, state: &Rc<ClientState>) {
+        self.last_accepted.set(Instant::now());
+        self.connections.set(self.connections.get() + 1);
+        let mut states = self.states.borrow_mut();
+        states.retain(|state| state.strong_count() > 0);
+        if self.connections.get() > self.sockets.clients {
+            states.iter().filter_map(Weak::upgrade).for_each(|state| state.evict());
+        }
+        states.push(Rc::downgrade(state));
+    }
+
+    fn exit(&self) {
+        self.connections.set(self.connections.get() - 1);
+        self.ended.notify_one();
     }
 
     /// No longer says that it is ready.
@@ -91,6 +114,10 @@
     };
     let service = Rc::new(service);
     loop {
+        // Danger: descriptors run out, and with them the way to the backends. Who comes now waits in the queue.
+        while gate.connections.get() >= gate.sockets.clients + OVER_SHARE {
+            gate.ended.notified().await;
+        }
         let (stream, peer) = match listener.accept().await {
             Ok(accepted) => accepted,
             Err(e) => {
@@ -100,44 +127,46 @@
                 continue;
             }
         };
-        gate.last_accepted.set(Instant::now());
-        gate.connections.set(gate.connections.get() + 1);
+        let state = Rc::<ClientState>::default();
+        gate.enter(&state);
         let _ = stream.set_nodelay(true);
-        let io = ClientStream { stream, state: Rc::default() };
+        let io = ClientStream { stream, state };
         let (service, gate) = (service.clone(), gate.clone());
         actix_rt::spawn(async move {
             if let Err(e) = service.call((io, Some(peer))).await {
                 debug!(gate.log, "connection ended"; "error" => %e);
             }
-            gate.connections.set(gate.connections.get() - 1);
+            gate.exit();
         });
     }
 }
 
 async fn handle(gate: Rc<Gate>, request: Request) -> Result<Response<Bytes>, Infallible> {
-    let path = request.path();
-    if path == client::READY {
-        return Ok(client::health(gate.driver.ready() && !gate.leaving.get()));
-    }
-    if path == client::LIVE {
-        return Ok(client::health(true));
-    }
     let state = request.conn_data::<Rc<ClientState>>().cloned().unwrap_or_default();
+    let response = match request.path() {
+        client::READY => client::health(gate.driver.ready() && !gate.leaving.get()),
+        client::LIVE => client::health(true),
+        _ => through_the_stages(&gate, request, &state).await,
+    };
+    state.busy.set(false);
+    Ok(response)
+}
+
+async fn through_the_stages(gate: &Gate, request: Request, state: &ClientState) -> Response<Bytes> {
     let call = match intake::take(request, &gate.driver.site).await {
         Ok(call) => call,
-        Err(reject) => return Ok(client::rejection(&reject)),
+        Err(reject) => return client::rejection(&reject),
     };
-    // Danger: more connections than descriptors for them leave none for the backends.
-    let held =
-        if gate.connections.get() > gate.sockets.clients { None } else { admit::admit(&gate.driver, call) };
+    let room = gate.connections.get() <= gate.sockets.clients;
+    let held = room.then(|| admit::admit(&gate.driver, call)).flatten();
     let Some(held) = held else {
         let mut refusal = client::refusal(Duration::ZERO);
-        refusal.head_mut().set_connection_type(actix_http::ConnectionType::Close);
-        return Ok(refusal);
+        refusal.head_mut().set_connection_type(ConnectionType::Close);
+        return refusal;
     };
     let verdict = relay::relay(held, state.gone()).await;
     // Nobody reads the answer to a client that has gone.
-    Ok(client::answer(verdict.unwrap_or(Verdict::Failed)))
+    client::answer(verdict.unwrap_or(Verdict::Failed))
 }
 
 /// Whether a client is still there.
@@ -145,6 +174,11 @@
 struct ClientState {
     gone: Cell<bool>,
     told: Notify,
+    /// Something of a request has come that is not answered yet.
+    busy: Cell<bool>,
+    /// To be closed if it is not busy.
+    evicted: Cell<bool>,
+    reader: RefCell<Option<Waker>>,
 }
 
 impl ClientState {
@@ -153,6 +187,13 @@
             self.told.notified().await;
         }
     }
+
+    fn evict(&self) {
+        if !self.busy.get() {
+            self.evicted.set(true);
+            self.reader.borrow().iter().for_each(Waker::wake_by_ref);
+        }
+    }
 }
 
 /// A client's connection. actix-http goes on with a request whose client has closed; the stream notices it.
@@ -169,11 +210,16 @@
     ) -> Poll<io::Result<()>> {
         let (before, room) = (buf.filled().len(), buf.remaining() > 0);
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if let Poll::Ready(result) = &polled
-            && (result.is_err() || room && buf.filled().len() == before)
-        {
-            self.state.gone.set(true);
-            self.state.told.notify_one();
+        let state = &self.state;
+        match &polled {
+            Poll::Ready(result) if result.is_err() || room && buf.filled().len() == before => {
+                state.gone.set(true);
+                state.told.notify_one();
+            }
+            Poll::Ready(_) => state.busy.set(true),
+            // To the server it looks as if the client had closed between two requests.
+            Poll::Pending if state.evicted.get() && !state.busy.get() => return Poll::Ready(Ok(())),
+            Poll::Pending => _ = state.reader.replace(Some(cx.waker().clone())),
         }
         polled
     }
--- a/src/bin/olivecart/platform/backend.rs
+++ b/src/bin/olivecart/platform/backend.rs
@@ -1,6 +1,6 @@
 //! What backends are sent and what comes back.
 
-use super::{client, names};
+use super::{client, end_to_end, names};
 use crate::stages::Payload;
 use actix_http::header::HeaderMap;
 use actix_http::{Method, StatusCode, Uri};
@@ -41,6 +41,13 @@
     }
 }
 
+/// The headers of an answer that the client gets too: the load report is for the proxy alone.
+pub fn passed_on(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = end_to_end(headers);
+    kept.remove(&names::LOAD);
+    kept
+}
+
 /// The load report of an answer, if it carries a readable one.
 pub fn load(headers: &HeaderMap) -> Option<Load> {
     let text = headers.get(&names::LOAD)?.to_str().ok()?;
--- a/src/bin/olivecart/platform/client.rs
+++ b/src/bin/olivecart/platform/client.rs
@@ -1,8 +1,8 @@
 //! What callers send and what they are told.
 
-use super::names;
+use super::{end_to_end, names};
 use crate::stages::{Payload, Verdict};
-use actix_http::header::{self, HeaderMap, HeaderName, HeaderValue};
+use actix_http::header::{self, HeaderName, HeaderValue};
 use actix_http::{Method, RequestHead, Response, ResponseBuilder, StatusCode};
 use bytes::Bytes;
 use std::time::Duration;
@@ -30,6 +30,9 @@
     /// The body did not arrive whole.
     #[error("the body broke off")]
     Broken,
+    /// The body did not arrive in time.
+    #[error("the body took too long")]
+    Slow,
 }
 
 impl Reject {
@@ -37,6 +40,7 @@
         match self {
             Reject::Header(..) | Reject::Broken => StatusCode::BAD_REQUEST,
             Reject::Method => StatusCode::METHOD_NOT_ALLOWED,
+            Reject::Slow => StatusCode::REQUEST_TIMEOUT,
             Reject::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         }
     }
@@ -101,45 +105,21 @@
 }
 
 /// The part of a request that goes on as it came: method, target, end-to-end headers and body.
-pub fn payload(head: &mut RequestHead, body: Bytes) -> Payload {
-    let listed: Vec<HeaderName> = head
-        .headers
-        .get_all(header::CONNECTION)
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .filter_map(|name| HeaderName::from_bytes(name.trim().as_bytes()).ok())
-        .collect();
-    let mut headers = std::mem::replace(&mut head.headers, HeaderMap::new());
-    for name in HOP_BY_HOP.iter().chain([&names::DEADLINE]).chain(&listed) {
-        headers.remove(name);
-    }
+pub fn payload(head: &RequestHead, body: Bytes) -> Payload {
+    let mut headers = end_to_end(&head.headers);
+    headers.remove(&names::DEADLINE);
     Payload { method: head.method.clone(), target: head.uri.path_and_query().cloned(), headers, body }
 }
 
-/// Headers of one connection, and those that the body's framing makes anew.
-const HOP_BY_HOP: [HeaderName; 9] = [
-    header::CONNECTION,
-    HeaderName::from_static("keep-alive"),
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    header::CONTENT_LENGTH,
-    header::EXPECT,
-];
-
 /// The answer that a verdict comes to.
 pub fn answer(verdict: Verdict) -> Response<Bytes> {
     let plain =
         |status, text: &'static str| built(ResponseBuilder::new(status), Bytes::from_static(text.as_bytes()));
     match verdict {
         Verdict::Served(answer) => {
-            let mut response = ResponseBuilder::new(StatusCode::OK);
-            if let Some(kind) = answer.content_type {
-                response.insert_header((header::CONTENT_TYPE, kind));
-            }
-            built(response, answer.body)
+            let mut response = Response::with_body(StatusCode::OK, answer.body);
+            *response.headers_mut() = answer.headers;
+            response
         }
         Verdict::Refused { come_back } => refusal(come_back),
         Verdict::Failed => plain(StatusCode::BAD_GATEWAY, "failed\n"),
--- a/src/bin/olivecart/platform/mod.rs
+++ b/src/bin/olivecart/platform/mod.rs
@@ -5,6 +5,8 @@
 pub mod client;
 pub mod registry;
 
+use actix_http::header::{self, HeaderMap, HeaderName};
+
 /// The headers that mean something here.
 mod names {
     use actix_http::header::HeaderName;
@@ -20,3 +22,28 @@
 
 /// Largest body, either way.
 pub const BODY_LIMIT: usize = 64 * 1024;
+
+/// Headers of one connection, and those that the body's framing makes anew.
+const HOP_BY_HOP: [HeaderName; 10] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::CONTENT_LENGTH,
+    header::EXPECT,
+];
+
+/// The headers that go on as they came: all but those of the connection, and what it names as its own.
+fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = headers.clone();
+    let listed = headers.get_all(header::CONNECTION).filter_map(|v| v.to_str().ok());
+    for name in listed.flat_map(|v| v.split(',')).filter_map(|name| name.trim().parse::<HeaderName>().ok()) {
+        kept.remove(&name);
+    }
+    HOP_BY_HOP.iter().for_each(|name| _ = kept.remove(name));
+    kept
+}
--- a/src/bin/olivecart/platform/registry.rs
+++ b/src/bin/olivecart/platform/registry.rs
@@ -1,10 +1,10 @@
 //! Discovery's form: the paths asked and the lists that come back.
 
+use crate::discovery::News;
+use olivecart::State;
 use olivecart::settings::{Listed, Site};
-use olivecart::{Entry, State};
 use serde::Deserialize;
 use std::borrow::Cow;
-use std::net::SocketAddr;
 
 /// The path of the whole list.
 pub const LIST: &str = "/registry/instances";
@@ -48,16 +48,6 @@
     1.0
 }
 
-/// A list or a change of it, in the module's numbers, with the addresses that the module never sees.
-pub struct News {
-    /// The version it brings the list to.
-    pub version: u64,
-    /// The whole list.
-    pub full: bool,
-    /// The entries, and where each is reached; none for one that cannot be reached.
-    pub entries: Vec<(Entry, Option<SocketAddr>)>,
-}
-
 /// Reads one object. A state never heard of counts as draining: known, and not to be sent anything.
 pub fn read(site: &mut Site, text: &[u8]) -> Result<News, serde_json::Error> {
     let document: Document = serde_json::from_slice(text)?;
--- a/src/bin/olivecart/shutdown.rs
+++ b/src/bin/olivecart/shutdown.rs
@@ -34,8 +34,11 @@
     }
     // The listener stays open: a late connection is answered and closed rather than reset.
     gate.close();
-    while gate.connections() > 0 && began.elapsed() < LONGEST {
+    // Empty once may only mean that the next connection is not accepted yet.
+    let mut empty = 0;
+    while empty < 2 && began.elapsed() < LONGEST {
         sleep(STEP).await;
+        empty = if gate.connections() == 0 { empty + 1 } else { 0 };
     }
     if gate.connections() > 0 {
         warn!(log, "connections left at the end"; "connections" => gate.connections());
--- a/src/bin/olivecart/stages/admit.rs
+++ b/src/bin/olivecart/stages/admit.rs
@@ -17,7 +17,8 @@
     /// The time by which it must be answered, come what may.
     pub deadline: Instant,
     verdict: oneshot::Receiver<Verdict>,
-    account: Account,
+    /// Closes the account when it is dropped.
+    _account: Account,
 }
 
 struct Account {
@@ -38,7 +39,7 @@
         retry: call.retry,
         ..Request::new(request, call.class, until.saturating_duration_since(Instant::now()).as_nanos() as u64)
     }));
-    Some(Held { deadline: call.deadline, verdict, account })
+    Some(Held { deadline: call.deadline, verdict, _account: account })
 }
 
 impl Held {
@@ -55,9 +56,3 @@
         }
     }
 }
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        let _ = &self.account; // goes after this, and closes the account if it is still open
-    }
-}
--- a/src/bin/olivecart/stages/mod.rs
+++ b/src/bin/olivecart/stages/mod.rs
@@ -12,7 +12,7 @@
 pub mod send;
 
 use actix_http::Method;
-use actix_http::header::{HeaderMap, HeaderValue};
+use actix_http::header::HeaderMap;
 use awc::http::uri::PathAndQuery;
 use bytes::Bytes;
 use olivecart::{ClassId, TenantId};
@@ -47,8 +47,8 @@
 
 /// A backend's whole answer.
 pub struct Answer {
-    /// What the body is.
-    pub content_type: Option<HeaderValue>,
+    /// End-to-end headers.
+    pub headers: HeaderMap,
     /// The body, as it came.
     pub body: Bytes,
 }
--- a/src/bin/olivecart/stages/send.rs
+++ b/src/bin/olivecart/stages/send.rs
@@ -6,7 +6,7 @@
 use crate::driver::Driver;
 use crate::platform::{BODY_LIMIT, backend};
 use actix_http::Method;
-use actix_http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use actix_http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use awc::error::{ConnectError, PayloadError, SendRequestError};
 use bytes::Bytes;
 use olivecart::{AttemptEnd, EndpointId, Event, Load, Outcome, RequestId};
@@ -35,12 +35,17 @@
 pub async fn attempt(driver: Rc<Driver>, mut attempt: Attempt, endpoint: EndpointId) {
     let began = Instant::now();
     let lease = driver.backends.lease(endpoint);
+    let seen = lease.as_ref().map(|lease| lease.seen.clone());
     let exchange = exchange(&driver, lease, &attempt.payload, attempt.until);
     let end = tokio::select! {
         biased;
         _ = &mut attempt.cancelled => Outcome::Cancelled.into(),
         end = exchange => end,
-        () = sleep_until(attempt.until.into()) => Outcome::Timeout.into(),
+        () = sleep_until(attempt.until.into()) => match seen {
+            // Time ran out before there was a connection to write to.
+            Some(seen) if !seen.connected.get() => Outcome::ConnectFailed.into(),
+            _ => Outcome::Timeout.into(),
+        },
     };
     // The exchange is dropped by now, and with it the connection of an attempt that was given up: only then
     // may the decisions hear of it, since they may send the request elsewhere at once.
@@ -83,8 +88,8 @@
     };
     let outcome = backend::outcome(response.status(), response.headers());
     let load = backend::load(response.headers());
-    let answer = (outcome == Outcome::Ok)
-        .then(|| Answer { content_type: response.headers().get(CONTENT_TYPE).cloned(), body });
+    let answer =
+        (outcome == Outcome::Ok).then(|| Answer { headers: backend::passed_on(response.headers()), body });
     let closes =
         response.headers().get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
     drop(response);
--- a/src/bin/olivecart/wire.rs
+++ b/src/bin/olivecart/wire.rs
@@ -1,5 +1,5 @@
-//! A TCP stream to a backend that remembers what became of it. awc alone does not tell a body that
-//! came whole from one that was cut off.
+//! A TCP stream to a backend that remembers what became of it. awc alone tells neither
+//! whether the connection of an attempt given up had come up, nor a whole body from one that was cut off.
 
 use actix_rt::net::{ActixStream, Ready};
 use std::cell::Cell;
@@ -13,6 +13,8 @@
 /// What is known of the stream that a client holds or last held.
 #[derive(Debug, Default)]
 pub struct Seen {
+    /// A connection came up, now or for an earlier request: bytes of this one may have been written.
+    pub connected: Cell<bool>,
     /// The peer ended its sending, or the stream broke.
     pub ended: Cell<bool>,
 }
@@ -27,6 +29,7 @@
 impl Wire {
     /// Wraps a stream that has just come up.
     pub fn new(stream: TcpStream, seen: Rc<Seen>) -> Wire {
+        seen.connected.set(true);
         seen.ended.set(false);
         Wire { stream, seen }
     }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -400,9 +400,11 @@
         target.is_some()
     }
 
-    /// How long an attempt may take before it counts as overdue.
+    /// How long an attempt may take before it counts as overdue. Danger: where answers take microseconds, any
+    /// hiccup of a machine is many deviations; a connection alone may take longer.
     fn overdue(&self, request: &Open) -> Nanos {
-        (request.work * (1.0 + OVERDUE_DEVIATIONS * self.norms[request.class].deviation)) as Nanos
+        let usual = request.work * (1.0 + OVERDUE_DEVIATIONS * self.norms[request.class].deviation);
+        (usual as Nanos).max(self.settings.limits.connect_timeout)
     }
 
     fn attempt_ended(&mut self, end: AttemptEnd, out: &mut Vec<Action>) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -104,6 +104,15 @@
         options.accounts.iter().for_each(|a| _ = names[2].id(&a.name));
         let [mut zones, classes, tenants] = names;
         let settings = settings(&options, &mut zones)?;
+        for (key, bad) in [
+            ("allowed.connect-timeout-ns", settings.limits.connect_timeout == 0),
+            ("allowed.most-held", options.allowed.most_held == Some(0)),
+            ("rules.must-ask-in-ns", settings.rules.must_ask_in == 0),
+        ] {
+            if bad {
+                return Err(SettingsError::Value(key.into(), "must not be 0".into()));
+            }
+        }
         settings.validate().map_err(SettingsError::Unusable)?;
         let allowed = &options.allowed;
         Ok(Site {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -200,3 +200,12 @@
     assert!(actions.iter().any(|a| matches!(a, Action::Shed { come_back: 1.., .. })), "{actions:?}");
     assert!((S..=2 * S).contains(&(b.now - began)), "held for {} ns of 4 s", b.now - began);
 }
+
+#[test]
+fn a_hiccup_of_milliseconds_is_not_a_hang_where_answers_take_microseconds() {
+    let mut b = Bench::new(settings(Effect::Repeatable), list(1));
+    (0..50).for_each(|_| _ = b.serve(MS / 10));
+    let (id, actions) = b.request(4 * S);
+    let (at, _) = *timers(&actions).iter().find(|(_, t)| *t == Timer::Request(id)).expect("a timer");
+    assert!(at - b.now >= Settings::default().limits.connect_timeout, "overdue after {} ns", at - b.now);
+}
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -150,6 +150,29 @@
     );
 }
 
+#[test]
+fn clients_between_two_requests_make_room_for_those_with_one() {
+    // 256 descriptors leave 124 for clients.
+    let served =
+        |n: u32| format!("c{n} send GET /{n}\na expect GET /{n}\na send 200 | {n}\nc{n} expect 200 | {n}\n");
+    let all: String = (0..140).map(served).collect();
+    play_with(&["a"], SETTINGS, &format!("{all}c0 expect closed"));
+}
+
+#[test]
+fn more_open_requests_than_the_settings_allow_are_refused() {
+    play_with(
+        &["a"],
+        &SETTINGS.replace("\"allowed\":{", "\"allowed\":{\"most-held\":1,"),
+        "c send GET /1
+         a expect GET /1
+         c2 send GET /2
+         c2 expect 503 retry-after=* connection=close
+         a send 200 | 1
+         c expect 200 | 1",
+    );
+}
+
 #[test]
 fn an_idle_connection_is_closed_before_the_backend_would() {
     play_with(
@@ -276,6 +299,7 @@
         (r#""discovery":"#, r#""discoverie":"#, "discovery"),
         (r#""ff""#, r#""xx""#, "seed"),
         ("1024", "40", "limits.sockets"),
+        (r#""connect-timeout-ns":2"#, r#""connect-timeout-ns":0,"x":2"#, "connect-timeout-ns"),
         (r#""settings":"#, r#""setting":"#, "settings"),
         (r#""grades":"#, r#""grade":"#, "grades"),
         (r#""name":"book","aim-ns":20000000000,"#, r#""name":"book","#, "aim-ns"),
