--- a/src/bin/olivecart/backends.rs
+++ b/src/bin/olivecart/backends.rs
@@ -159,7 +159,8 @@
         async move {
             let stream = TcpStream::connect(addr).await.map_err(ConnectError::Io)?;
             let _ = stream.set_nodelay(true); // a hint; without it small requests wait for acknowledgements
-            Ok::<_, ConnectError>(Connection::new(info.request().clone(), Wire::new(stream, seen)))
+            seen.comes_up();
+            Ok::<_, ConnectError>(Connection::new(info.request().clone(), Wire { stream, tap: seen }))
         }
     });
     let connector = Connector::new()
--- a/src/bin/olivecart/listen.rs
+++ b/src/bin/olivecart/listen.rs
@@ -4,6 +4,7 @@
 use crate::driver::Driver;
 use crate::platform::client;
 use crate::stages::{Verdict, admit, intake, relay};
+use crate::wire::{Read, Tap, Wire};
 use actix_http::{ConnectionType, Extensions, HttpService, KeepAlive, Request, Response};
 use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
 use bytes::Bytes;
@@ -12,12 +13,10 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::{Rc, Weak};
-use std::task::{Context, Poll, Waker};
+use std::task::{Context, Waker};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::{Notify, watch};
 
 /// A connection that sends nothing for this long is closed, before its first request or between two.
@@ -107,7 +106,7 @@
             let mut closing = closing.clone();
             async move { _ = closing.wait_for(|closing| *closing).await }
         })
-        .on_connect_ext(|io: &ClientStream, data: &mut Extensions| _ = data.insert(io.state.clone()))
+        .on_connect_ext(|io: &Wire<ClientState>, data: &mut Extensions| _ = data.insert(io.tap.clone()))
         .h1(fn_service(move |request: Request| handle(handler_gate.clone(), request)).into_factory());
     let Ok(service) = service.new_service(()).await else {
         return warn!(gate.log, "the HTTP service did not start");
@@ -130,7 +129,7 @@
         let state = Rc::<ClientState>::default();
         gate.enter(&state);
         let _ = stream.set_nodelay(true);
-        let io = ClientStream { stream, state };
+        let io = Wire { stream, tap: state };
         let (service, gate) = (service.clone(), gate.clone());
         actix_rt::spawn(async move {
             if let Err(e) = service.call((io, Some(peer))).await {
@@ -196,45 +195,16 @@
     }
 }
 
-/// A client's connection. actix-http goes on with a request whose client has closed; the stream notices it.
-struct ClientStream {
-    stream: TcpStream,
-    state: Rc<ClientState>,
-}
-
-impl AsyncRead for ClientStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let (before, room) = (buf.filled().len(), buf.remaining() > 0);
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        let state = &self.state;
-        match &polled {
-            Poll::Ready(result) if result.is_err() || room && buf.filled().len() == before => {
-                state.gone.set(true);
-                state.told.notify_one();
+impl Tap for ClientState {
+    fn read(&self, read: Read, cx: &Context<'_>) -> bool {
+        match read {
+            Read::Some => self.busy.set(true),
+            Read::Ended => {
+                self.gone.set(true);
+                self.told.notify_one();
             }
-            Poll::Ready(_) => state.busy.set(true),
-            // To the server it looks as if the client had closed between two requests.
-            Poll::Pending if state.evicted.get() && !state.busy.get() => return Poll::Ready(Ok(())),
-            Poll::Pending => _ = state.reader.replace(Some(cx.waker().clone())),
+            Read::Nothing => _ = self.reader.replace(Some(cx.waker().clone())),
         }
-        polled
-    }
-}
-
-impl AsyncWrite for ClientStream {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        self.evicted.get() && !self.busy.get()
     }
 }
--- a/src/bin/olivecart/wire.rs
+++ b/src/bin/olivecart/wire.rs
@@ -1,5 +1,8 @@
-//! A TCP stream to a backend that remembers what became of it. awc alone tells neither
-//! whether the connection of an attempt given up had come up, nor a whole body from one that was cut off.
+//! A TCP stream that lets somebody watch what is read from it, on either side of the proxy.
+//!
+//! Towards backends: awc alone tells neither whether the connection of an attempt given up had come up, nor
+//! a whole body from one that was cut off. Towards clients: actix-http goes on with a request whose client
+//! has closed.
 
 use actix_rt::net::{ActixStream, Ready};
 use std::cell::Cell;
@@ -10,50 +13,74 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// What is known of the stream that a client holds or last held.
+/// What a read came to.
+pub enum Read {
+    /// Bytes came.
+    Some,
+    /// The peer ended its sending, or the stream broke.
+    Ended,
+    /// Nothing yet.
+    Nothing,
+}
+
+/// Somebody who watches the reads of a stream.
+pub trait Tap {
+    /// Is told of each read. True: a stream with nothing to read is to look as if the peer had ended it.
+    fn read(&self, read: Read, cx: &Context<'_>) -> bool;
+}
+
+/// What is known of a connection to a backend.
 #[derive(Debug, Default)]
 pub struct Seen {
-    /// A connection came up, now or for an earlier request: bytes of this one may have been written.
+    /// It came up, now or for an earlier request: bytes of this one may have been written.
     pub connected: Cell<bool>,
     /// The peer ended its sending, or the stream broke.
     pub ended: Cell<bool>,
 }
 
-/// The stream.
-#[derive(Debug)]
-pub struct Wire {
-    stream: TcpStream,
-    seen: Rc<Seen>,
+impl Seen {
+    /// A connection has just come up.
+    pub fn comes_up(&self) {
+        self.connected.set(true);
+        self.ended.set(false);
+    }
 }
 
-impl Wire {
-    /// Wraps a stream that has just come up.
-    pub fn new(stream: TcpStream, seen: Rc<Seen>) -> Wire {
-        seen.connected.set(true);
-        seen.ended.set(false);
-        Wire { stream, seen }
+impl Tap for Seen {
+    fn read(&self, read: Read, _: &Context<'_>) -> bool {
+        self.ended.set(self.ended.get() || matches!(read, Read::Ended));
+        false
     }
 }
 
-impl AsyncRead for Wire {
+/// The stream.
+#[derive(Debug)]
+pub struct Wire<T> {
+    /// The socket.
+    pub stream: TcpStream,
+    /// Who watches.
+    pub tap: Rc<T>,
+}
+
+impl<T: Tap> AsyncRead for Wire<T> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let room = buf.remaining() > 0;
+        let (before, room) = (buf.filled().len(), buf.remaining() > 0);
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if let Poll::Ready(result) = &polled
-            && (result.is_err() || room && buf.filled().len() == before)
-        {
-            self.seen.ended.set(true);
-        }
-        polled
+        let read = match &polled {
+            Poll::Ready(Ok(())) if buf.filled().len() > before || !room => Read::Some,
+            Poll::Ready(_) => Read::Ended,
+            Poll::Pending => Read::Nothing,
+        };
+        let end = self.tap.read(read, cx);
+        if end && polled.is_pending() { Poll::Ready(Ok(())) } else { polled }
     }
 }
 
-impl AsyncWrite for Wire {
+impl<T> AsyncWrite for Wire<T> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
@@ -67,7 +94,7 @@
     }
 }
 
-impl ActixStream for Wire {
+impl ActixStream for Wire<Seen> {
     fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
         ActixStream::poll_read_ready(&self.stream, cx)
     }
