--- a/src/bin/olivecart/config.rs
+++ b/src/bin/olivecart/config.rs
@@ -101,14 +101,15 @@
         let mut reader = serde_json::Deserializer::from_str(text);
         let file: File = serde_path_to_error::deserialize(&mut reader)
             .map_err(|e| ConfigError::Form(e.path().to_string(), e.into_inner()))?;
-        let listen = variable("EDGE_LISTEN").or(file.listen);
-        let discovery = variable("EDGE_DISCOVERY").or(file.discovery);
         let settings =
             file.settings.ok_or(ConfigError::Missing("settings", "a key of EDGE_CONFIG's file"))?;
         Ok(Config {
             name: variable("EDGE_NAME").or(file.name).unwrap_or_else(|| "olivecart".into()),
-            listen: address("listen", "EDGE_LISTEN", listen)?,
-            discovery: address("discovery", "EDGE_DISCOVERY", discovery)?,
+            listen: address(("EDGE_LISTEN", variable("EDGE_LISTEN")), ("listen", file.listen))?,
+            discovery: address(
+                ("EDGE_DISCOVERY", variable("EDGE_DISCOVERY")),
+                ("discovery", file.discovery),
+            )?,
             seed: seed(file.seed)?,
             sockets: share_out(&file.limits)?,
             known: file.known.map(|k| k.get().to_owned()),
@@ -133,13 +134,15 @@
     }
 }
 
-fn address(
-    key: &'static str,
-    variable: &'static str,
-    value: Option<String>,
-) -> Result<SocketAddr, ConfigError> {
-    let value = value.ok_or(ConfigError::Missing(key, variable))?;
-    value.parse().map_err(|_| ConfigError::Value(key, value, "an address and port"))
+/// A value with the name of the variable or key that it comes from.
+type Named = (&'static str, Option<String>);
+
+fn address(variable: Named, key: Named) -> Result<SocketAddr, ConfigError> {
+    let (name, value) = match (variable, key) {
+        ((name, Some(value)), _) | (_, (name, Some(value))) => (name, value),
+        ((variable, None), (key, None)) => return Err(ConfigError::Missing(key, variable)),
+    };
+    value.parse().map_err(|_| ConfigError::Value(name, value, "an address and port"))
 }
 
 /// The seed is sixteen hexadecimal digits; without one, chance is fed from the clock.
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -313,6 +313,9 @@
         let (good, message) = check(&whole.replacen(right, wrong, 1));
         assert!(!good && message.contains(key), "{key}: {message}");
     }
+    let mut overridden = olivecart("check", &config_file(&whole));
+    let run = overridden.env("EDGE_LISTEN", "elsewhere").output().expect("it runs");
+    assert!(!run.status.success() && String::from_utf8_lossy(&run.stderr).contains("EDGE_LISTEN"));
     let version = olivecart("version", std::path::Path::new("")).output().expect("it runs");
     assert!(String::from_utf8_lossy(&version.stdout).starts_with("olivecart "));
 }
