--- a/src/logic.rs
+++ b/src/logic.rs
@@ -557,8 +557,8 @@
         self.norms.iter().map(|n| n.mean).sum::<f64>() / self.norms.len().max(1) as f64
     }
 
-    /// Sends a new request; where no endpoint can take it now it waits for news. Danger: a client that is held
-    /// until near its deadline and then turned away has no time left to go elsewhere.
+    /// Sends a new request; where no endpoint can take it now it waits for news. Danger: a client that is
+    /// held until near its deadline and then turned away has no time left to go elsewhere.
     fn place(&mut self, id: RequestId, out: &mut Vec<Action>) {
         if self.dispatch(id, out) {
             return;
