--- a/src/bin/olivecart/backends.rs
+++ b/src/bin/olivecart/backends.rs
@@ -64,7 +64,8 @@
         }
     }
 
-    /// Notes where an endpoint is. One that moved, or is another process now, has none of the old connections.
+    /// Notes where an endpoint is. One that moved, or is another process now, has none of the old
+    /// connections.
     pub fn place(&self, endpoint: EndpointId, addr: Option<SocketAddr>, started: Option<u64>, ready: bool) {
         let slot = endpoint.0 as usize;
         let mut table = self.table.borrow_mut();
--- a/src/bin/olivecart/listen.rs
+++ b/src/bin/olivecart/listen.rs
@@ -113,7 +113,8 @@
     };
     let service = Rc::new(service);
     loop {
-        // Danger: descriptors run out, and with them the way to the backends. Who comes now waits in the queue.
+        // Danger: descriptors run out, and with them the way to the backends. Who comes now waits in the
+        // listener's queue.
         while gate.connections.get() >= gate.sockets.clients + OVER_SHARE {
             gate.ended.notified().await;
         }
--- a/src/bin/olivecart/stages/book.rs
+++ b/src/bin/olivecart/stages/book.rs
@@ -81,7 +81,8 @@
         }
     }
 
-    /// Enters the end of an attempt, with the answer if it was served, and says whether the request has ended.
+    /// Enters the end of an attempt, with the answer if it was served, and says whether the request has
+    /// ended.
     pub fn attempt_ended(&self, request: RequestId, answer: Option<Answer>) -> bool {
         let mut accounts = self.accounts.borrow_mut();
         let Some(account) = accounts.get_mut(&request) else { return true };
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -35,7 +35,7 @@
          c2 expect 413
          c3 send raw nonsense\\r\\n\\r\\n
          c3 expect 400
-         c4 send raw POST /6 HTTP/1.1\\r\\nX-Request-Id: r\\r\\nX-Class: view\\r\\nContent-Length: 9\\r\\n\\r\\nhalf
+         c4 send raw POST /6 HTTP/1.1\\r\\nHost: h\\r\\nX-Request-Id: r\\r\\nX-Class: view\\r\\nContent-Length: 9\\r\\n\\r\\nhalf
          c4 close
          c send GET /good
          a expect GET /good
@@ -128,6 +128,42 @@
     );
 }
 
+#[test]
+fn a_request_in_pieces_and_two_in_one_piece_are_each_answered_in_turn() {
+    play_with(
+        &["a"],
+        SETTINGS,
+        "c send raw POST /1 HTTP/1.1\\r\\nHost: h\\r\\nX-Request-Id: r\\r\\nX-Cl
+         c send raw ass: view\\r\\nContent-Length: 4\\r\\n\\r\\nha
+         c send raw lfGET /2 HTTP/1.1\\r\\nHost: h\\r\\nX-Request-Id: r\\r\\nX-Class: view\\r\\n\\r\\n
+         a expect POST /1 | half
+         a send 200 | 1
+         c expect 200 | 1
+         a expect GET /2
+         a send 200 | 2
+         c expect 200 | 2
+         c send HEAD /3
+         a expect HEAD /3
+         a send raw HTTP/1.1 200 OK\\r\\nContent-Length: 9\\r\\n\\r\\n
+         c expect 200
+         c send GET /4
+         a expect GET /4
+         a send 200 | 4
+         c expect 200 | 4",
+    );
+}
+
+#[test]
+fn an_answer_over_the_limit_is_not_passed_on() {
+    let big = "x".repeat(65_537);
+    play(&format!(
+        "c send POST /api X-Class=book | x
+         a expect POST /api
+         a send 200 | {big}
+         c expect 502"
+    ));
+}
+
 #[test]
 fn a_client_that_goes_away_takes_its_call_along() {
     play(
