Lay the program out as a workspace: decisions, settings, proxy, adapter

Need: one package held the decision module, the reader of the settings object, the proxy and the adapter; a model of the fleet and further subsystems need the decisions without the sockets, and a plain build must make only what the platform runs.

Change: packages by concern under crates/; versions of dependencies and lints are set once at the root; default-members are what run and sim need. The reader of the settings object is a package of its own, so that the decisions depend on a hash and a random number generator alone. No line of behaviour changed.

--- a/src/bin/olivecart-adapter/host.rs
+++ b/crates/adapter/src/host.rs
@@ -3,8 +3,8 @@
 use crate::wire::{Account, Batch, Element, Order, Recipient, WireEvent};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD as BASE64;
-use olivecart::settings::{Listed, Site};
-use olivecart::*;
+use olivecart_decisions::*;
+use olivecart_settings::{Listed, Site};
 use rustc_hash::FxHashMap;
 use std::collections::BTreeMap;
 use std::panic::{AssertUnwindSafe, catch_unwind};
--- a/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -4,8 +4,8 @@
 //! clock, no threads and no sockets; the same events always give the same actions.
 //!
 //! ```
-//! use olivecart::{Action, Balancer, Class, Entry, Event, ListChange, Settings};
-//! use olivecart::{ClassId, EndpointId, Request, RequestId};
+//! use olivecart_decisions::{Action, Balancer, Class, Entry, Event, ListChange, Settings};
+//! use olivecart_decisions::{ClassId, EndpointId, Request, RequestId};
 //!
 //! let settings = Settings { classes: vec![Class::default()], ..Settings::default() };
 //! let mut balancer = Balancer::new(settings, 7, 0);
@@ -19,12 +19,11 @@
 mod decayed;
 mod interface;
 mod logic;
-pub mod settings;
 
 pub use interface::*;
 pub use logic::Balancer;
 
 /// The README's example is compiled and run with the tests.
 #[cfg(doctest)]
-#[doc = include_str!("../README.md")]
+#[doc = include_str!("../../../README.md")]
 struct Readme;
--- a/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A balancer with a clock, for hand-made sequences of events.
 #![allow(dead_code, reason = "each test file uses its own part")]
 
-use olivecart::*;
+use olivecart_decisions::*;
 
 pub const MS: Nanos = 1_000_000;
 pub const S: Nanos = 1_000 * MS;
--- a/tests/failures.rs
+++ b/crates/decisions/tests/failures.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use olivecart::*;
+use olivecart_decisions::*;
 
 /// Sends requests at a rate, each answered after a time, and returns how many were shed.
 fn offer(b: &mut Bench, n: u64, gap: Nanos, took: Nanos) -> usize {
--- a/tests/invariants.rs
+++ b/crates/decisions/tests/invariants.rs
@@ -3,7 +3,7 @@
 
 mod common;
 use common::*;
-use olivecart::*;
+use olivecart_decisions::*;
 use proptest::prelude::*;
 use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
 use std::collections::{BTreeMap, BTreeSet};
--- a/tests/rules.rs
+++ b/crates/decisions/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use olivecart::*;
+use olivecart_decisions::*;
 
 // ---- the mechanism ----
 
--- a/src/bin/olivecart/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -10,7 +10,7 @@
 use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
 use awc::http::Uri;
 use awc::{Client, Connector};
-use olivecart::EndpointId;
+use olivecart_decisions::EndpointId;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/src/bin/olivecart/clock.rs
+++ b/crates/proxy/src/clock.rs
@@ -1,7 +1,7 @@
 //! The module's clock: monotonic, and set to Unix time once at the start so that the start times in the
 //! list of backends can be put beside it.
 
-use olivecart::Nanos;
+use olivecart_decisions::Nanos;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Turns instants into the module's time and back.
--- a/src/bin/olivecart/config.rs
+++ b/crates/proxy/src/config.rs
@@ -1,6 +1,6 @@
 //! The one place where configuration is read, given defaults and checked. Messages name the faulty key.
 
-use olivecart::settings::{SettingsError, Site};
+use olivecart_settings::{SettingsError, Site};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::fmt;
--- a/src/bin/olivecart/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -8,7 +8,7 @@
 use awc::http::Uri;
 use bytes::BytesMut;
 use futures_util::StreamExt;
-use olivecart::{Entry, Event, ListChange};
+use olivecart_decisions::{Entry, Event, ListChange};
 use slog::{Logger, debug, info};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
--- a/src/bin/olivecart/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -7,8 +7,8 @@
 use crate::invariant::{must, take_broken};
 use crate::platform::registry;
 use crate::stages::{Verdict, book::Book, route, send};
-use olivecart::settings::Site;
-use olivecart::{Action, Balancer, Discovery as Mode, Event, ListChange, Nanos, State, Timer};
+use olivecart_decisions::{Action, Balancer, Discovery as Mode, Event, ListChange, Nanos, State, Timer};
+use olivecart_settings::Site;
 use slog::{Logger, debug, error, info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
@@ -103,7 +103,7 @@
         self.list(news, if full { ListChange::Full } else { ListChange::Delta });
     }
 
-    fn list(self: &Rc<Self>, news: News, change: impl Fn(Vec<olivecart::Entry>) -> ListChange) {
+    fn list(self: &Rc<Self>, news: News, change: impl Fn(Vec<olivecart_decisions::Entry>) -> ListChange) {
         debug!(self.log, "list"; "version" => news.version, "full" => news.full, "entries" => news.entries.len());
         if news.full {
             self.backends.forget_all();
--- a/src/bin/olivecart/platform/backend.rs
+++ b/crates/proxy/src/platform/backend.rs
@@ -5,8 +5,8 @@
 use actix_http::header::HeaderMap;
 use actix_http::{Method, StatusCode, Uri};
 use awc::{Client, ClientRequest};
-use olivecart::settings::field;
-use olivecart::{Load, Outcome};
+use olivecart_decisions::{Load, Outcome};
+use olivecart_settings::field;
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/src/bin/olivecart/platform/registry.rs
+++ b/crates/proxy/src/platform/registry.rs
@@ -1,8 +1,8 @@
 //! Discovery's form: the paths asked and the lists that come back.
 
 use crate::discovery::News;
-use olivecart::State;
-use olivecart::settings::{Listed, Site};
+use olivecart_decisions::State;
+use olivecart_settings::{Listed, Site};
 use serde::Deserialize;
 use std::borrow::Cow;
 
--- a/src/bin/olivecart/stages/admit.rs
+++ b/crates/proxy/src/stages/admit.rs
@@ -3,7 +3,7 @@
 
 use super::{Call, Verdict};
 use crate::driver::Driver;
-use olivecart::{Event, Request, RequestId};
+use olivecart_decisions::{Event, Request, RequestId};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
--- a/src/bin/olivecart/stages/book.rs
+++ b/crates/proxy/src/stages/book.rs
@@ -3,7 +3,7 @@
 use super::{Answer, Payload, Verdict};
 use crate::invariant::must;
 use actix_http::header::HeaderValue;
-use olivecart::RequestId;
+use olivecart_decisions::RequestId;
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
--- a/src/bin/olivecart/stages/intake.rs
+++ b/crates/proxy/src/stages/intake.rs
@@ -8,8 +8,8 @@
 use actix_http::Request;
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
-use olivecart::settings::Site;
-use olivecart::{ClassId, TenantId};
+use olivecart_decisions::{ClassId, TenantId};
+use olivecart_settings::Site;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
--- a/src/bin/olivecart/stages/mod.rs
+++ b/crates/proxy/src/stages/mod.rs
@@ -15,7 +15,7 @@
 use actix_http::{Method, StatusCode};
 use awc::http::uri::PathAndQuery;
 use bytes::Bytes;
-use olivecart::{ClassId, TenantId};
+use olivecart_decisions::{ClassId, TenantId};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
--- a/src/bin/olivecart/stages/route.rs
+++ b/crates/proxy/src/stages/route.rs
@@ -3,7 +3,7 @@
 use super::{book::Attempt, send};
 use crate::driver::Driver;
 use crate::invariant::must;
-use olivecart::{EndpointId, Nanos, Outcome, RequestId};
+use olivecart_decisions::{EndpointId, Nanos, Outcome, RequestId};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
--- a/src/bin/olivecart/stages/send.rs
+++ b/crates/proxy/src/stages/send.rs
@@ -11,7 +11,7 @@
 use awc::SendClientRequest;
 use awc::error::{ConnectError, PayloadError, SendRequestError};
 use bytes::Bytes;
-use olivecart::{AttemptEnd, EndpointId, Event, Load, Outcome, RequestId};
+use olivecart_decisions::{AttemptEnd, EndpointId, Event, Load, Outcome, RequestId};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::time::sleep_until;
--- a/tests/proxy.rs
+++ b/crates/proxy/tests/proxy.rs
@@ -63,7 +63,7 @@
 #[test]
 fn clients_that_send_nothing_or_too_slowly_are_let_go_and_keep_nobody_out() {
     // 256 descriptors leave 104 for clients.
-    let silent = |n: u32| format!("c{n} send raw {}\n", if n % 2 == 0 { "" } else { "GET /" });
+    let silent = |n: u32| format!("c{n} send raw {}\n", if n.is_multiple_of(2) { "" } else { "GET /" });
     let all: String = (1..300).map(silent).collect();
     play_with(
         &["a"],
--- a/src/settings.rs
+++ b/crates/settings/src/lib.rs
@@ -3,7 +3,7 @@
 //! `grades` is needed, and in it what tells a class from another; every other key has the default of
 //! [`Settings`]. Unknown keys are skipped. What is wrong is named by its key.
 
-use crate::interface::*;
+use olivecart_decisions::*;
 use rustc_hash::FxHashMap;
 use serde::Deserialize;
 use std::rc::Rc;
@@ -71,7 +71,7 @@
 /// What an instance is told at its start: the module's settings, the figures that only its embedding
 /// needs, and the names that the module knows by number.
 pub struct Site {
-    /// For [`crate::Balancer::new`].
+    /// For [`Balancer::new`].
     pub settings: Settings,
     /// A connection idle for this long is closed by the other side.
     pub idle_close: Duration,
