--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,7 @@
+//! The command `olivecart-lab`.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/lab/src/policy/mod.rs
@@ -0,0 +1,62 @@
+//! Policies by name: the project's own decisions, textbook ones to compare with, and broken ones that the
+//! monitors have to catch. All are driven through the interface of the decisions.
+
+use olivecart_decisions::{Action, Balancer, EndpointId, Event, Nanos, Settings};
+use std::rc::Rc;
+
+/// One proxy's decisions.
+pub trait Policy {
+    /// Takes one event at time `now` and appends what is to be done.
+    fn handle(&mut self, now: Nanos, event: Event, out: &mut Vec<Action>);
+
+    /// How this proxy sees an endpoint; none where the policy has no such thing.
+    fn standing(&self, _endpoint: EndpointId) -> Option<Standing> {
+        None
+    }
+}
+
+/// How a proxy sees an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// In good standing.
+    Good,
+    /// A check failed.
+    Down,
+    /// Evidence from calls holds it back.
+    Held,
+}
+
+/// The true state of an endpoint, for a policy that is allowed to see it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Truth {
+    /// It runs, can be reached, and answers what it takes.
+    pub serves: bool,
+    /// Work that is there and not yet done, over cores and present speed: about how long a newcomer waits.
+    pub wait: Nanos,
+    /// Cores times present speed.
+    pub capacity: f64,
+}
+
+/// Sight of the true state of all endpoints, as of a moment ago.
+pub trait Sight {
+    /// The state of one.
+    fn see(&self, endpoint: EndpointId) -> Truth;
+}
+
+/// What a policy is made from.
+pub struct Place {
+    /// The settings of its proxy.
+    pub settings: Settings,
+    /// Feeds all its chance.
+    pub seed: u64,
+    /// The time.
+    pub now: Nanos,
+    /// Sight of the truth, for the oracle alone.
+    pub sight: Rc<dyn Sight>,
+}
+
+impl Policy for Balancer {
+    fn handle(&mut self, now: Nanos, event: Event, out: &mut Vec<Action>) {
+        Balancer::handle(self, now, event, out);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/run/mod.rs
@@ -0,0 +1,3 @@
+//! Runs of a scenario in virtual time, and what they come to.
+
+pub mod result;
