--- /dev/null
+++ b/crates/lab/src/policy/named.rs
@@ -0,0 +1,63 @@
+//! Policies by name.
+
+use super::chassis::Textbook;
+use super::pick::{Pick, Random};
+use super::{Place, Policy};
+use olivecart_decisions::Balancer;
+use thiserror::Error;
+
+/// Makes a policy. A plain function, so that every thread can make its own.
+pub type Maker = fn(Place) -> Box<dyn Policy>;
+
+/// The ordinary policies: the project's own decisions first.
+pub const NAMES: &[&str] = &["olivecart", "random"];
+
+/// No policy has that name.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("there is no policy {name:?}; known are, nearest first: {}", known.join(", "))]
+pub struct UnknownPolicy {
+    /// What was asked for.
+    pub name: String,
+    /// The ordinary policies, the most similar name first.
+    pub known: Vec<&'static str>,
+}
+
+/// The policy of a name.
+///
+/// # Errors
+/// The name is not among [`NAMES`].
+pub fn named(name: &str) -> Result<Maker, UnknownPolicy> {
+    ordinary(name).ok_or_else(|| {
+        let mut known = NAMES.to_vec();
+        known.sort_by_key(|other| distance(name, other));
+        UnknownPolicy { name: name.to_owned(), known }
+    })
+}
+
+fn ordinary(name: &str) -> Option<Maker> {
+    Some(match name {
+        "olivecart" => |place| Box::new(Balancer::new(place.settings, place.seed, place.now)),
+        "random" => textbook::<Random>,
+        _ => return None,
+    })
+}
+
+fn textbook<P: Pick + Default + 'static>(place: Place) -> Box<dyn Policy> {
+    Box::new(Textbook::new(place, P::default()))
+}
+
+/// Letters to insert, remove or replace to get from one name to the other (Levenshtein 1966).
+fn distance(a: &str, b: &str) -> usize {
+    let b: Vec<char> = b.chars().collect();
+    let mut row: Vec<usize> = (0..=b.len()).collect();
+    for (i, letter) in a.chars().enumerate() {
+        let mut corner = row[0];
+        row[0] = i + 1;
+        for (j, other) in b.iter().enumerate() {
+            let replaced = corner + usize::from(letter != *other);
+            corner = row[j + 1];
+            row[j + 1] = replaced.min(row[j] + 1).min(corner + 1);
+        }
+    }
+    row[b.len()]
+}
