--- a/crates/lab/src/policy/mod.rs
+++ b/crates/lab/src/policy/mod.rs
@@ -16,7 +16,8 @@
     /// Takes one event at time `now` and appends what is to be done.
     fn handle(&mut self, now: Nanos, event: Event, out: &mut Vec<Action>);
 
-    /// How this proxy sees an endpoint; none where the policy has no such thing.
+    /// How this proxy sees an endpoint; none where the policy has no such thing, or the endpoint takes no
+    /// requests.
     fn standing(&self, _endpoint: EndpointId) -> Option<Standing> {
         None
     }
@@ -42,12 +43,19 @@
     pub wait: Nanos,
     /// Cores times present speed.
     pub capacity: f64,
+    /// Present speed of one core; 0: not told, and the capacity is taken for it.
+    pub speed: f64,
 }
 
 /// Sight of the true state of all endpoints, as of a moment ago.
 pub trait Sight {
     /// The state of one.
     fn see(&self, endpoint: EndpointId) -> Truth;
+
+    /// How long ago the state was as told.
+    fn age(&self) -> Nanos {
+        0
+    }
 }
 
 /// What a policy is made from.
@@ -66,4 +74,15 @@
     fn handle(&mut self, now: Nanos, event: Event, out: &mut Vec<Action>) {
         Balancer::handle(self, now, event, out);
     }
+
+    fn standing(&self, endpoint: EndpointId) -> Option<Standing> {
+        use olivecart_decisions::Standing as Seen;
+        match Balancer::standing(self, endpoint) {
+            Seen::Unknown | Seen::Withdrawn => None,
+            Seen::Down => Some(Standing::Down),
+            Seen::Held { .. } => Some(Standing::Held),
+            // Left alone for a moment, or within a budget: nobody holds those back.
+            Seen::Full { .. } | Seen::Cold { .. } | Seen::Good => Some(Standing::Good),
+        }
+    }
 }
--- a/crates/lab/src/policy/named.rs
+++ b/crates/lab/src/policy/named.rs
@@ -1,7 +1,7 @@
 //! Policies by name.
 
 use super::chassis::Textbook;
-use super::pick::{Pick, Random};
+use super::pick::{LeastOutstanding, Oracle, Pick, PowerOfTwo, Random, RingHash, RoundRobin};
 use super::{Place, Policy};
 use olivecart_decisions::Balancer;
 use thiserror::Error;
@@ -10,7 +10,8 @@
 pub type Maker = fn(Place) -> Box<dyn Policy>;
 
 /// The ordinary policies: the project's own decisions first.
-pub const NAMES: &[&str] = &["olivecart", "random"];
+pub const NAMES: &[&str] =
+    &["olivecart", "random", "round_robin", "least_outstanding", "power_of_two", "ring_hash", "oracle"];
 
 /// No policy has that name.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
@@ -38,6 +39,14 @@
     Some(match name {
         "olivecart" => |place| Box::new(Balancer::new(place.settings, place.seed, place.now)),
         "random" => textbook::<Random>,
+        "round_robin" => textbook::<RoundRobin>,
+        "least_outstanding" => textbook::<LeastOutstanding>,
+        "power_of_two" => textbook::<PowerOfTwo>,
+        "ring_hash" => textbook::<RingHash>,
+        "oracle" => |place| {
+            let oracle = Oracle::new(place.sight.clone());
+            Box::new(Textbook::new(place, oracle))
+        },
         _ => return None,
     })
 }
--- a/crates/lab/src/policy/pick/mod.rs
+++ b/crates/lab/src/policy/pick/mod.rs
@@ -3,9 +3,19 @@
 //! None of them knows of sizes, zones, warm-up, load reports or failures but for its own attempts: that is what
 //! they are here to show.
 
+mod least_outstanding;
+mod oracle;
+mod power_of_two;
 mod random;
+mod ring_hash;
+mod round_robin;
 
+pub use least_outstanding::LeastOutstanding;
+pub use oracle::Oracle;
+pub use power_of_two::PowerOfTwo;
 pub use random::Random;
+pub use ring_hash::RingHash;
+pub use round_robin::RoundRobin;
 
 use super::pool::{Ask, Pool};
 use olivecart_decisions::EndpointId;
--- /dev/null
+++ b/crates/lab/tests/policies/chassis.rs
@@ -0,0 +1,144 @@
+//! What all textbook policies have in common.
+
+use crate::checker::*;
+use olivecart_decisions::*;
+use olivecart_lab::policy::{self, Place, Standing};
+use std::rc::Rc;
+
+const TEXTBOOK: &[&str] =
+    &["random", "round_robin", "least_outstanding", "power_of_two", "ring_hash", "oracle"];
+
+fn answers(checker: &Checker, id: RequestId) -> Vec<&Action> {
+    let answers = |a: &&Action| match a {
+        Action::Shed { request, .. } | Action::Fail(request) => *request == id,
+        _ => false,
+    };
+    checker.actions.iter().filter(answers).collect()
+}
+
+/// Class numbers of the checker's settings.
+const REPEATABLE: u16 = 0;
+const BY_CELL: u16 = 1;
+const BY_ZONE: u16 = 2;
+const ONCE: u16 = 3;
+
+#[test]
+fn what_may_have_run_is_repeated_only_where_that_is_harmless() {
+    for name in TEXTBOOK {
+        for seed in 0..20 {
+            let mut checker = Checker::new(name, settings(), list(8), seed);
+            let mut fail_twice = |class, outcome| {
+                let id = checker.arrive(class, S);
+                checker.end(id, 0, outcome);
+                if checker.went(id).len() > 1 {
+                    checker.end(id, 1, Outcome::Full);
+                }
+                let refused = matches!(answers(&checker, id)[..], [Action::Shed { .. }]);
+                (checker.went(id), refused)
+            };
+            let (went, refused) = fail_twice(REPEATABLE, Outcome::Error);
+            assert!(went.len() == 2 && went[0] != went[1] && refused, "{name}: {went:?}");
+            let (went, refused) = fail_twice(BY_CELL, Outcome::Reset);
+            assert!(went.len() == 2 && went[0].0 == went[1].0 ^ 1 && !refused, "{name}: {went:?}");
+            let (went, refused) = fail_twice(BY_ZONE, Outcome::Error);
+            assert!(went.len() == 2 && went[0] != went[1] && !refused, "{name}: {went:?}");
+            assert!(went[0].0 / 2 % 2 == went[1].0 / 2 % 2, "{name}: {went:?}");
+            let (went, refused) = fail_twice(ONCE, Outcome::Error);
+            assert!(went.len() == 1 && !refused, "{name}: {went:?}");
+            let (went, refused) = fail_twice(ONCE, Outcome::ConnectFailed);
+            assert!(went.len() == 2 && went[0] != went[1] && refused, "{name}: {went:?}");
+            assert_eq!(checker.breaches, []);
+        }
+    }
+}
+
+#[test]
+fn a_window_that_is_over_permits_no_repeat() {
+    for name in TEXTBOOK {
+        let mut checker = Checker::new(name, settings(), list(8), 1);
+        let id = checker.arrive(BY_CELL, S);
+        checker.advance(checker.now + 270 * MS); // of 300, and an eighth is margin
+        checker.end(id, 0, Outcome::Error);
+        assert!(checker.went(id).len() == 1 && answers(&checker, id) == [&Action::Fail(id)], "{name}");
+    }
+}
+
+#[test]
+fn without_an_endpoint_a_request_is_refused_at_once() {
+    for name in TEXTBOOK {
+        let mut checker = Checker::new(name, settings(), Vec::new(), 1);
+        let id = checker.arrive(ONCE, S);
+        let refusal = Action::Shed { request: id, come_back: checker.settings.rules.must_ask_in / 8 };
+        assert_eq!(answers(&checker, id), [&refusal], "{name}");
+    }
+}
+
+#[test]
+fn what_the_client_gave_up_is_called_off_and_forgotten() {
+    for name in TEXTBOOK {
+        let mut checker = Checker::new(name, settings(), list(2), 1);
+        let id = checker.arrive(REPEATABLE, S);
+        checker.abort_some(0);
+        assert_eq!(checker.actions.last(), Some(&Action::Cancel { request: id, attempt: 0 }), "{name}");
+        checker.end(id, 0, Outcome::Cancelled);
+        assert!(checker.went(id).len() == 1 && answers(&checker, id).is_empty(), "{name}");
+    }
+}
+
+#[test]
+fn a_full_list_withdraws_what_it_does_not_name() {
+    for name in TEXTBOOK {
+        let mut checker = Checker::new(name, settings(), list(8), 1);
+        checker.tell(Event::List(ListChange::Full(list(8).split_off(6))));
+        checker.tell(Event::List(ListChange::Failed));
+        (0..100).for_each(|_| {
+            checker.arrive(REPEATABLE, S);
+        });
+        let sent = checker.sent();
+        assert!(sent[..6].iter().all(|n| *n == 0) && sent[6] + sent[7] == 100, "{name}: {sent:?}");
+    }
+}
+
+#[test]
+fn subscribes_at_the_start_and_again_later_each_time_it_fails() {
+    let mut subscribe = settings();
+    subscribe.discovery = Discovery::Subscribe;
+    for name in TEXTBOOK {
+        let mut checker = Checker::new(name, subscribe.clone(), list(2), 1);
+        let base = subscribe.rules.must_ask_in;
+        let timer = |checker: &Checker| match checker.actions.last() {
+            Some(Action::SetTimer { at, timer: Timer::Discovery }) => at - checker.now,
+            other => panic!("{name}: {other:?}"),
+        };
+        assert!(timer(&checker) <= base / 2);
+        checker.advance(checker.now + base / 2);
+        assert_eq!(checker.actions.last(), Some(&Action::Watch(true)), "{name}");
+        for least in [base / 8, base / 4, base / 2, base / 2] {
+            checker.tell(Event::List(ListChange::Failed));
+            let wait = timer(&checker);
+            assert!((least..=2 * least).contains(&wait), "{name}: {wait}");
+        }
+    }
+}
+
+#[test]
+fn a_wrong_name_is_told_the_nearest_ones() {
+    let error = policy::named("power_of_tow").err().expect("unknown");
+    assert_eq!((error.known[0], error.known.len()), ("power_of_two", policy::NAMES.len()));
+    assert!(error.to_string().contains("\"power_of_tow\""));
+}
+
+#[test]
+fn only_the_decisions_have_a_standing() {
+    let make = |name| {
+        let place = Place { settings: settings(), seed: 1, now: S, sight: Rc::new(Seen::default()) };
+        let mut policy = policy::named(name).expect("known")(place);
+        policy.handle(S, Event::List(ListChange::Cached(list(2))), &mut Vec::new());
+        let outcome = Outcome::ConnectFailed;
+        let failed = Event::Checked { endpoint: EndpointId(1), outcome, took: MS, load: None };
+        policy.handle(S, failed, &mut Vec::new());
+        [0, 1, 2].map(|id| policy.standing(EndpointId(id)))
+    };
+    assert_eq!(make("olivecart"), [Some(Standing::Good), Some(Standing::Down), None]);
+    assert_eq!(make("random"), [None; 3]);
+}
--- /dev/null
+++ b/crates/lab/tests/policies/main.rs
@@ -0,0 +1,7 @@
+//! The lab's policies: each ordinary one keeps the rules, each chooses as its textbook says, and each broken one
+//! breaks the rule it is for.
+
+mod chassis;
+mod checker;
+mod choices;
+mod rules;
