Give the types between the fronts and the stages a module of their own

What a call, its payload, an answer and a verdict are stood in `stages`, which `platform` imported for them while `stages::intake` and `stages::send` imported `platform`: neither could be read, or moved to a package, without the other.

They are `call.rs` now, below both; the code is moved, not changed.

--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -1,12 +1,13 @@
 //! Owns the decisions: puts every event to them in order, does what they answer, and keeps their timers.
 
 use crate::backends::Backends;
+use crate::call::Verdict;
 use crate::clock::Clock;
 use crate::config::{Config, Sockets};
 use crate::discovery::{Discovery, News};
 use crate::invariant::{must, take_broken};
 use crate::platform::registry;
-use crate::stages::{Verdict, book::Book, route, send};
+use crate::stages::{book::Book, route, send};
 use olivecart_decisions::{Action, Balancer, Discovery as Mode, Event, ListChange, Nanos, State, Timer};
 use olivecart_settings::Site;
 use slog::{Logger, debug, error, info, warn};
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -1,11 +1,12 @@
 //! The clients' side: accepts connections, speaks HTTP on them, and takes each request through the stages.
 
+use crate::call::Verdict;
 use crate::clients::{Client, Clients, Reader};
 use crate::config::Sockets;
 use crate::driver::Driver;
 use crate::platform::client;
 use crate::stages::admit::{self, NotAdmitted};
-use crate::stages::{Verdict, intake, relay};
+use crate::stages::{intake, relay};
 use crate::wire::Wire;
 use actix_http::{Extensions, HttpService, KeepAlive, Request, Response};
 use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -5,6 +5,7 @@
 
 mod answer;
 mod backends;
+mod call;
 mod cli;
 mod clients;
 mod clock;
--- a/crates/proxy/src/platform/backend.rs
+++ b/crates/proxy/src/platform/backend.rs
@@ -1,7 +1,7 @@
 //! What backends are sent and what comes back.
 
 use super::{client, end_to_end, names};
-use crate::stages::Payload;
+use crate::call::Payload;
 use actix_http::header::HeaderMap;
 use actix_http::{Method, StatusCode, Uri};
 use awc::{Client, ClientRequest};
--- a/crates/proxy/src/platform/client.rs
+++ b/crates/proxy/src/platform/client.rs
@@ -1,7 +1,7 @@
 //! What callers send and what they are told.
 
 use super::{BODY_LIMIT, end_to_end, names};
-use crate::stages::{Payload, Verdict};
+use crate::call::{Payload, Verdict};
 use actix_http::header::{self, HeaderName, HeaderValue};
 use actix_http::{ConnectionType, Method, RequestHead, Response, ResponseBuilder, StatusCode};
 use bytes::Bytes;
--- a/crates/proxy/src/stages/admit.rs
+++ b/crates/proxy/src/stages/admit.rs
@@ -1,7 +1,7 @@
 //! Admits a call: opens its account and puts it to the decisions. The only admission of the proxy's own is
 //! the limit on open requests that the settings give.
 
-use super::{Call, Verdict};
+use crate::call::{Call, Verdict};
 use crate::driver::Driver;
 use olivecart_decisions::{Event, Request, RequestId};
 use std::rc::Rc;
--- a/crates/proxy/src/stages/book.rs
+++ b/crates/proxy/src/stages/book.rs
@@ -1,6 +1,6 @@
 //! The accounts of open requests: one final verdict each, one outcome for each attempt.
 
-use super::{Answer, Payload, Verdict};
+use crate::call::{Answer, Payload, Verdict};
 use crate::invariant::must;
 use actix_http::header::HeaderValue;
 use olivecart_decisions::RequestId;
--- a/crates/proxy/src/stages/intake.rs
+++ b/crates/proxy/src/stages/intake.rs
@@ -1,6 +1,6 @@
 //! Takes a request in: reads its body to the end and the few fields that the decisions need.
 
-use super::Call;
+use crate::call::Call;
 use crate::platform::{
     BODY_LIMIT,
     client::{self, Reject},
--- a/crates/proxy/src/stages/relay.rs
+++ b/crates/proxy/src/stages/relay.rs
@@ -1,6 +1,7 @@
 //! Gives the client its one answer: what the decisions came to, or failed when they came to nothing in time.
 
-use super::{Verdict, admit::Held};
+use super::admit::Held;
+use crate::call::Verdict;
 use std::time::Duration;
 use tokio::time::sleep_until;
 
--- a/crates/proxy/src/stages/send.rs
+++ b/crates/proxy/src/stages/send.rs
@@ -1,9 +1,9 @@
 //! One attempt on one connection, and exactly one outcome for it.
 
 use super::book::Attempt;
-use super::{Answer, Payload};
 use crate::answer::Seen;
 use crate::backends::Lease;
+use crate::call::{Answer, Payload};
 use crate::driver::Driver;
 use crate::platform::{BODY_LIMIT, backend};
 use actix_http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
