Part discovery and the stages from the driver by two narrow seams

The driver imported discovery, which imported the registry's reader and the driver again; and it imported the stages, which imported it. Five files could only be read, tested or moved together, and reading a list needed the settings and their name tables.

- `membership` says what a list is, in the list's words.
The registry's reader makes it from bytes alone, with names borrowed from the text; the driver turns it into the module's numbers.
- `Discovery` knows a `Subscriber`: news came, or the asking failed.
- The stages share a `Context`: accounts, connections, two limits, and the way to tell the decisions an event (trait `Decisions`).
It holds the driver weakly, and the driver owns it.
- `listen` has the context and the names that requests may use; `reload` hands what a file brings to whom the command line says.
Neither knows the driver.
- `Backends` counts who is ready, which the driver had kept as a flag.

No allocation is added, neither for a request nor for an entry of a list. Behaviour is as it was.

No two files of the package import each other, and no two folders.

--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -60,6 +60,8 @@
     table: RefCell<Vec<Backend>>,
     connect_timeout: Duration,
     idle_life: Duration,
+    /// How many take requests.
+    ready: Cell<usize>,
     /// Most connections, idle ones included, and how many there are.
     most: Cell<usize>,
     open: Rc<()>,
@@ -72,6 +74,7 @@
             table: RefCell::default(),
             connect_timeout,
             idle_life: idle_close.mul_f64(KEPT),
+            ready: Cell::new(0),
             most: Cell::new(most),
             open: Rc::default(),
         }
@@ -94,12 +97,14 @@
         if backend.addr != addr || backend.started != started || !ready {
             backend.idle.clear();
         }
+        self.ready.set(self.ready.get() + usize::from(ready) - usize::from(backend.ready));
         (backend.addr, backend.started, backend.ready) = (addr, started, ready);
     }
 
     /// A whole list follows: what it does not name takes no more requests.
     pub fn forget_all(&self) {
         self.table.borrow_mut().iter_mut().for_each(|b| b.ready = false);
+        self.ready.set(0);
     }
 
     /// Whether the list names an endpoint as ready.
@@ -109,7 +114,7 @@
 
     /// Whether it names any.
     pub fn any_takes_requests(&self) -> bool {
-        self.table.borrow().iter().any(|b| b.ready)
+        self.ready.get() > 0
     }
 
     /// A connection to an endpoint: the idle one used last, or a new one. None: nobody knows where it is, or
@@ -205,3 +210,28 @@
         .disconnect_timeout(Duration::ZERO);
     Client::builder().connector(connector).disable_timeout().disable_redirects().no_default_headers().finish()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn there_is_somebody_to_send_to_while_the_list_names_one_as_ready() {
+        let backends = Backends::new(Duration::from_secs(1), Duration::from_secs(1), 1);
+        let place = |id, ready| backends.place(EndpointId(id), None, None, ready);
+        assert!(!backends.any_takes_requests());
+        place(3, true);
+        place(3, true);
+        place(1, true);
+        place(3, false);
+        assert!(backends.any_takes_requests(), "1 is ready");
+        place(1, false);
+        place(1, false);
+        assert!(!backends.any_takes_requests());
+        place(0, true);
+        backends.forget_all();
+        assert!(!backends.any_takes_requests() && !backends.takes_requests(EndpointId(0)));
+        place(0, true);
+        assert!(backends.any_takes_requests());
+    }
+}
--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -1,6 +1,6 @@
 //! The command line.
 
-use crate::config::Config;
+use crate::config::{Changes, Config};
 use crate::{driver, listen, reload, shutdown};
 use argh::FromArgs;
 use slog::{Drain, Logger, crit, info, o};
@@ -85,8 +85,16 @@
         info!(log, "listening"; "on" => %config.listen, "version" => env!("CARGO_PKG_VERSION"));
         let (sockets, origin) = (config.sockets, config.origin.clone());
         let driver = driver::Driver::start(config, log.clone());
-        let gate = Rc::new(listen::Gate::new(driver, log.clone(), sockets));
-        actix_rt::spawn(reload::on_signal(hang_up, origin, gate.clone(), log.clone()));
+        let (context, site) = (driver.context.clone(), driver.site.clone());
+        let gate = Rc::new(listen::Gate::new(context, site, log.clone(), sockets));
+        let adopt = {
+            let gate = gate.clone();
+            move |changes: &Changes| {
+                gate.adopt(changes.sockets);
+                driver.adopt(changes.discovery, changes.sockets);
+            }
+        };
+        actix_rt::spawn(reload::on_signal(hang_up, origin, adopt, log.clone()));
         let front = actix_rt::spawn(listen::serve(listener, gate.clone()));
         shutdown::on_signal(gate, log.clone()).await?;
         front.abort();
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -2,13 +2,11 @@
 
 use crate::answer::Seen;
 use crate::backends;
-use crate::driver::Driver;
+use crate::membership::News;
 use crate::platform::registry;
-
 use awc::http::Uri;
 use bytes::BytesMut;
 use futures_util::StreamExt;
-use olivecart_decisions::{Entry, Event, ListChange};
 use slog::{Logger, debug, info};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -45,18 +43,17 @@
     Closed,
 }
 
-/// A list or a change of it, in the module's numbers, with the addresses that the module never sees.
-pub struct News {
-    /// The version it brings the list to.
-    pub version: u64,
-    /// The whole list.
-    pub full: bool,
-    /// The entries, and where each is reached; none for one that cannot be reached.
-    pub entries: Vec<(Entry, Option<SocketAddr>)>,
+/// Whoever is told what discovery says.
+pub trait Subscriber {
+    /// A list or a change came.
+    fn news(&self, news: News<'_>);
+    /// A call failed or the watch broke; what was known stays so.
+    fn failed(&self);
 }
 
 /// The way to discovery.
 pub struct Discovery {
+    subscriber: Weak<dyn Subscriber>,
     addr: Cell<SocketAddr>,
     version: Cell<u64>,
     watch: RefCell<Option<JoinHandle<()>>>,
@@ -65,10 +62,10 @@
 }
 
 impl Discovery {
-    /// Nothing is asked until the decisions ask.
-    pub fn new(addr: SocketAddr, log: Logger) -> Discovery {
+    /// Nothing is asked until [`watch`](Self::watch) or [`refresh`](Self::refresh).
+    pub fn new(addr: SocketAddr, subscriber: Weak<dyn Subscriber>, log: Logger) -> Discovery {
         let (addr, version) = (Cell::new(addr), Cell::new(0));
-        Discovery { addr, version, watch: RefCell::default(), refresh: RefCell::default(), log }
+        Discovery { subscriber, addr, version, watch: RefCell::default(), refresh: RefCell::default(), log }
     }
 
     /// Notes the version of the list that is held.
@@ -77,34 +74,32 @@
     }
 
     /// Begins a watch anew, or ends it.
-    pub fn watch(&self, driver: &Rc<Driver>, on: bool) {
-        let task = on.then(|| {
-            actix_rt::spawn(watch(Rc::downgrade(driver), self.call(registry::watch(self.version.get()))))
-        });
+    pub fn watch(&self, on: bool) {
+        let task = on.then(|| actix_rt::spawn(watch(self.call(registry::watch(self.version.get())))));
         replace(&self.watch, task);
     }
 
     /// Discovery is elsewhere from now on: asks there at once for what changed after the version held.
     /// Danger: news that is still under way from the old address must not overwrite the new one's, so that
     /// whatever is out is dropped first; a task that was aborted is not polled again.
-    pub fn move_to(&self, driver: &Rc<Driver>, addr: SocketAddr) {
+    pub fn move_to(&self, addr: SocketAddr) {
         if self.addr.replace(addr) == addr {
             return;
         }
-        self.watch(driver, true);
+        self.watch(true);
         if self.refresh.borrow().as_ref().is_some_and(|refresh| !refresh.is_finished()) {
-            self.refresh(driver);
+            self.refresh();
         }
     }
 
     /// Asks for the whole list once.
-    pub fn refresh(&self, driver: &Rc<Driver>) {
-        let task = actix_rt::spawn(refresh(Rc::downgrade(driver), self.call(registry::LIST.into())));
+    pub fn refresh(&self) {
+        let task = actix_rt::spawn(refresh(self.call(registry::LIST.into())));
         replace(&self.refresh, Some(task));
     }
 
     fn call(&self, target: String) -> Call {
-        Call { addr: self.addr.get(), target, log: self.log.clone() }
+        Call { subscriber: self.subscriber.clone(), addr: self.addr.get(), target, log: self.log.clone() }
     }
 }
 
@@ -117,6 +112,7 @@
 
 /// One call, on a connection of its own.
 struct Call {
+    subscriber: Weak<dyn Subscriber>,
     addr: SocketAddr,
     target: String,
     log: Logger,
@@ -134,35 +130,36 @@
             other => Err(Ended::Status(other)),
         }
     }
-}
 
-fn failed(driver: &Weak<Driver>, call: &Call, ended: &Ended) {
-    info!(call.log, "discovery"; "target" => &call.target, "ended" => %ended);
-    if let Some(driver) = driver.upgrade() {
-        driver.tell(Event::List(ListChange::Failed));
+    /// Passes on an object that came.
+    fn hear(&self, text: &[u8]) -> Result<(), Ended> {
+        let Some(subscriber) = self.subscriber.upgrade() else { return Ok(()) };
+        subscriber.news(registry::read(text)?);
+        Ok(())
     }
-}
 
-fn hear(driver: &Weak<Driver>, text: &[u8]) -> Result<(), Ended> {
-    let Some(driver) = driver.upgrade() else { return Ok(()) };
-    let news = registry::read(&mut driver.site.borrow_mut(), text)?;
-    driver.hear(news);
-    Ok(())
+    /// Passes on that it ended.
+    fn failed(&self, ended: &Ended) {
+        info!(self.log, "discovery"; "target" => &self.target, "ended" => %ended);
+        if let Some(subscriber) = self.subscriber.upgrade() {
+            subscriber.failed();
+        }
+    }
 }
 
-async fn refresh(driver: Weak<Driver>, call: Call) {
+async fn refresh(call: Call) {
     let done = async {
         let mut response = call.begin().await?;
         let body = timeout(SILENCE, response.body().limit(LARGEST)).await.map_err(|_| Ended::Slow)??;
-        hear(&driver, &body)
+        call.hear(&body)
     };
     if let Err(ended) = done.await {
-        failed(&driver, &call, &ended);
+        call.failed(&ended);
     }
 }
 
 /// Follows a watch to its end. The objects are lines, and a line may come in any number of pieces.
-async fn watch(driver: Weak<Driver>, call: Call) {
+async fn watch(call: Call) {
     let follow = async {
         let mut response = call.begin().await?;
         debug!(call.log, "watching"; "target" => &call.target);
@@ -173,7 +170,7 @@
             while let Some(end) = held.iter().position(|b| *b == b'\n') {
                 let line = held.split_to(end + 1);
                 if !line.iter().all(u8::is_ascii_whitespace) {
-                    hear(&driver, &line)?;
+                    call.hear(&line)?;
                 }
             }
             if held.len() > LARGEST {
@@ -183,6 +180,6 @@
     };
     let result: Result<(), Ended> = follow.await;
     if let Err(ended) = result {
-        failed(&driver, &call, &ended);
+        call.failed(&ended);
     }
 }
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -3,16 +3,17 @@
 use crate::call::Verdict;
 use crate::clients::{Client, Clients, Reader};
 use crate::config::Sockets;
-use crate::driver::Driver;
 use crate::platform::client;
 use crate::stages::admit::{self, NotAdmitted};
+use crate::stages::context::Context;
 use crate::stages::{intake, relay};
 use crate::wire::Wire;
 use actix_http::{Extensions, HttpService, KeepAlive, Request, Response};
 use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
 use bytes::Bytes;
+use olivecart_settings::Site;
 use slog::{Logger, debug, warn};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
@@ -33,7 +34,8 @@
 
 /// What the listener and the shut-down share.
 pub struct Gate {
-    driver: Rc<Driver>,
+    context: Rc<Context>,
+    site: Rc<RefCell<Site>>,
     log: Logger,
     sockets: Cell<Sockets>,
     clients: Rc<Clients>,
@@ -44,11 +46,12 @@
 }
 
 impl Gate {
-    /// An open gate.
-    pub fn new(driver: Rc<Driver>, log: Logger, sockets: Sockets) -> Gate {
+    /// An open gate. `site` has the names that requests may use.
+    pub fn new(context: Rc<Context>, site: Rc<RefCell<Site>>, log: Logger, sockets: Sockets) -> Gate {
         let (clients, last_accepted) = (Rc::default(), Cell::new(Instant::now()));
         let (closing, leaving) = (watch::channel(false).0, Cell::new(None));
-        Gate { driver, log, sockets: Cell::new(sockets), clients, last_accepted, leaving, closing }
+        let sockets = Cell::new(sockets);
+        Gate { context, site, log, sockets, clients, last_accepted, leaving, closing }
     }
 
     /// Sees to it that there are descriptors for one more connection. Danger: they run out, and with them
@@ -64,11 +67,6 @@
         }
     }
 
-    /// The decisions behind it.
-    pub fn driver(&self) -> &Rc<Driver> {
-        &self.driver
-    }
-
     /// Other shares of the descriptors hold from now on.
     pub fn adopt(&self, sockets: Sockets) {
         self.sockets.set(sockets);
@@ -160,7 +158,9 @@
         return Ok(client::refusal(Duration::ZERO)); // on_connect_ext leaves none without
     };
     let response = match request.path() {
-        client::READY => Ok(client::health(gate.driver.ready() && gate.leaving.get().is_none())),
+        client::READY => {
+            Ok(client::health(gate.context.backends.any_takes_requests() && gate.leaving.get().is_none()))
+        }
         client::LIVE => Ok(client::health(true)),
         _ => through_the_stages(&gate, request, &client).await,
     };
@@ -181,14 +181,14 @@
     request: Request,
     client: &Rc<Client>,
 ) -> Result<Response<Bytes>, client::Reject> {
-    let mut call = intake::take(request, &gate.driver.site).await?;
+    let mut call = intake::take(request, &gate.site).await?;
     // Danger: an end that comes before the answer, which is then lost.
     call.deadline = gate.leaving.get().map_or(call.deadline, |by| call.deadline.min(by));
     client.in_work();
     if gate.clients.in_work() > gate.sockets.get().clients {
         return Ok(client::crowded());
     }
-    let held = match admit::admit(&gate.driver, call) {
+    let held = match admit::admit(&gate.context, call) {
         Ok(held) => held,
         Err(NotAdmitted::Full) => return Ok(client::crowded()),
         Err(NotAdmitted::Twice) => return Err(client::Reject::Open),
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -14,6 +14,7 @@
 mod driver;
 mod invariant;
 mod listen;
+mod membership;
 mod platform;
 mod reload;
 mod shutdown;
--- a/crates/proxy/src/platform/registry.rs
+++ b/crates/proxy/src/platform/registry.rs
@@ -1,8 +1,7 @@
 //! Discovery's form: the paths asked and the lists that come back.
 
-use crate::discovery::News;
+use crate::membership::{Endpoint, News};
 use olivecart_decisions::State;
-use olivecart_settings::{Listed, Site};
 use serde::Deserialize;
 use std::borrow::Cow;
 
@@ -49,28 +48,29 @@
 }
 
 /// Reads one object. A state never heard of counts as draining: known, and not to be sent anything.
-pub fn read(site: &mut Site, text: &[u8]) -> Result<News, serde_json::Error> {
+pub fn read(text: &[u8]) -> Result<News<'_>, serde_json::Error> {
     let document: Document = serde_json::from_slice(text)?;
-    let entry = |server: &Server| {
-        let addr = server.addr.parse().ok();
-        let state = match (&*server.state, addr) {
-            ("ready", Some(_)) => State::Ready,
-            ("gone", _) => State::Gone,
-            _ => State::Draining,
-        };
-        let entry = site.entry(&Listed {
-            name: &server.id,
-            state,
-            zone: &server.zone,
-            kind: &server.kind,
-            cell: server.cell,
-            size: server.weight,
-            started: (server.started_ms > 0).then(|| server.started_ms.saturating_mul(1_000_000)),
-        });
-        (entry, addr)
+    let endpoints = document.servers.into_iter().map(endpoint).collect();
+    Ok(News { version: document.version, full: document.full, endpoints })
+}
+
+fn endpoint(server: Server<'_>) -> Endpoint<'_> {
+    let addr = server.addr.parse().ok();
+    let state = match (&*server.state, addr) {
+        ("ready", Some(_)) => State::Ready,
+        ("gone", _) => State::Gone,
+        _ => State::Draining,
     };
-    let entries = document.servers.iter().map(entry).collect();
-    Ok(News { version: document.version, full: document.full, entries })
+    Endpoint {
+        name: server.id,
+        state,
+        zone: server.zone,
+        kind: server.kind,
+        cell: server.cell,
+        size: server.weight,
+        started: (server.started_ms > 0).then(|| server.started_ms.saturating_mul(1_000_000)),
+        addr,
+    }
 }
 
 #[cfg(test)]
@@ -79,15 +79,30 @@
 
     #[test]
     fn a_change_is_read_with_its_addresses_and_start_times() {
-        let grades = r#"{"grades":[{"name":"v","aim-ns":1,"give-up-ns":2,"effect":"repeatable"}]}"#;
-        let mut site = Site::read(grades).expect("settings");
         let text =
             br#"{"version":43,"servers":[{"id":"s","addr":"127.0.0.9:1","state":"ready","started_ms":7},
             {"id":"t","state":"resting","addr":"127.0.0.9:2"},{"id":"s","state":"gone"}],"more":1}"#;
-        let news = read(&mut site, text).expect("a change");
+        let news = read(text).expect("a change");
         assert_eq!((news.version, news.full), (43, false));
-        let states: Vec<_> = news.entries.iter().map(|(e, a)| (e.id.0, e.state, a.is_some())).collect();
-        assert_eq!(states, [(0, State::Ready, true), (1, State::Draining, true), (0, State::Gone, false)]);
-        assert_eq!(news.entries[0].0.started, Some(7_000_000));
+        let states: Vec<_> = news.endpoints.iter().map(|e| (&*e.name, e.state, e.addr.is_some())).collect();
+        assert_eq!(
+            states,
+            [("s", State::Ready, true), ("t", State::Draining, true), ("s", State::Gone, false)]
+        );
+        assert_eq!(news.endpoints[0].started, Some(7_000_000));
+        assert_eq!(news.endpoints[1].started, None);
+    }
+
+    #[test]
+    fn a_list_is_read_in_its_own_words_and_what_it_leaves_out_has_a_default() {
+        let text = br#"{"version":1,"full":true,"servers":[{"id":"a\u00e9","addr":"[::1]:9","state":"ready",
+            "zone":"z","kind":"k","cell":4,"weight":2.5},{"id":"b","state":"ready","addr":"nowhere"}]}"#;
+        let news = read(text).expect("a list");
+        assert!(news.full);
+        let [a, b] = &news.endpoints[..] else { panic!("{} endpoints", news.endpoints.len()) };
+        assert_eq!((&*a.name, &*a.zone, &*a.kind, a.cell, a.size), ("aé", "z", "k", 4, 2.5));
+        assert_eq!((&*b.zone, &*b.kind, b.cell, b.size), ("", "", 0, 1.0));
+        assert_eq!((b.state, b.addr), (State::Draining, None), "ready, but nobody can reach it");
+        assert!(read(br#"{"version":1,"servers":[{"id":"a"}]}"#).is_err(), "no state");
     }
 }
--- a/crates/proxy/src/reload.rs
+++ b/crates/proxy/src/reload.rs
@@ -1,12 +1,10 @@
 //! A new configuration while all runs on: SIGHUP reads the file again. What can change at once does, and a
 //! file that is no good leaves the old one in force.
 
-use crate::config::Origin;
-use crate::listen::Gate;
+use crate::config::{Changes, Origin};
 use slog::{Logger, info, warn};
 use std::convert::Infallible;
 use std::io;
-use std::rc::Rc;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Registers for SIGHUP. Danger: unregistered, the signal ends the program and all that it had taken.
@@ -14,8 +12,14 @@
     signal(SignalKind::hangup())
 }
 
-/// Reads the file again at each SIGHUP, for good. Signals that come during a reading are one more reading.
-pub async fn on_signal(mut hang_up: Signal, mut origin: Origin, gate: Rc<Gate>, log: Logger) -> Infallible {
+/// Reads the file again at each SIGHUP, for good, and has what it brings adopted. Signals that come during a
+/// reading are one more reading.
+pub async fn on_signal(
+    mut hang_up: Signal,
+    mut origin: Origin,
+    adopt: impl Fn(&Changes),
+    log: Logger,
+) -> Infallible {
     loop {
         if hang_up.recv().await.is_none() {
             std::future::pending::<()>().await; // the runtime is going
@@ -26,8 +30,7 @@
                 if !changes.at_start.is_empty() {
                     warn!(log, "changed keys that take effect at the next start"; "keys" => ?changes.at_start);
                 }
-                gate.adopt(changes.sockets);
-                gate.driver().adopt(changes.discovery, changes.sockets);
+                adopt(&changes);
             }
             Err(e) => warn!(log, "the configuration stays as it was"; "error" => %e),
         }
--- a/crates/proxy/src/stages/admit.rs
+++ b/crates/proxy/src/stages/admit.rs
@@ -1,8 +1,8 @@
 //! Admits a call: opens its account and puts it to the decisions. The only admission of the proxy's own is
 //! the limit on open requests that the settings give.
 
+use super::context::Context;
 use crate::call::{Call, Verdict};
-use crate::driver::Driver;
 use olivecart_decisions::{Event, Request, RequestId};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -22,7 +22,7 @@
 }
 
 struct Account {
-    driver: Rc<Driver>,
+    context: Rc<Context>,
     request: RequestId,
 }
 
@@ -34,16 +34,16 @@
     Twice,
 }
 
-/// Opens a call's account. Danger: a second request with
-/// the id of an open one is not that client's, and to a backend would be another copy of it.
-pub fn admit(driver: &Rc<Driver>, call: Call) -> Result<Held, NotAdmitted> {
-    if driver.book.open_requests() >= driver.most_held {
+/// Opens a call's account. Danger: a second request with the id of an open one is not that client's, and to a
+/// backend would be another copy of it.
+pub fn admit(context: &Rc<Context>, call: Call) -> Result<Held, NotAdmitted> {
+    if context.book.open_requests() >= context.limits.open_requests {
         return Err(NotAdmitted::Full);
     }
     let until = call.deadline.checked_sub(MARGIN).unwrap_or(call.deadline);
-    let (request, verdict) = driver.book.open(call.id, call.payload, until).ok_or(NotAdmitted::Twice)?;
-    let account = Account { driver: driver.clone(), request };
-    driver.tell(Event::Request(Request {
+    let (request, verdict) = context.book.open(call.id, call.payload, until).ok_or(NotAdmitted::Twice)?;
+    let account = Account { context: context.clone(), request };
+    context.tell(Event::Request(Request {
         tenant: call.tenant,
         retry: call.retry,
         ..Request::new(request, call.class, until.saturating_duration_since(Instant::now()).as_nanos() as u64)
@@ -60,8 +60,78 @@
 
 impl Drop for Account {
     fn drop(&mut self) {
-        if self.driver.book.abandon(self.request) {
-            self.driver.tell(Event::Aborted(self.request));
+        if self.context.book.abandon(self.request) {
+            self.context.tell(Event::Aborted(self.request));
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::backends::Backends;
+    use crate::call::Payload;
+    use crate::stages::context::{Decisions, Limits};
+    use actix_http::Method;
+    use actix_http::header::{HeaderMap, HeaderValue};
+    use bytes::Bytes;
+    use olivecart_decisions::ClassId;
+    use std::cell::RefCell;
+
+    /// Notes what it is told, and answers nothing.
+    #[derive(Default)]
+    struct Recorder(RefCell<Vec<Event>>);
+
+    impl Decisions for Recorder {
+        fn tell(&self, event: Event) {
+            self.0.borrow_mut().push(event);
+        }
+    }
+
+    fn context(decisions: &Rc<Recorder>, open_requests: usize) -> Rc<Context> {
+        let decisions: Rc<dyn Decisions> = decisions.clone();
+        let backends = Backends::new(Duration::from_secs(1), Duration::from_secs(1), 1);
+        let limits = Limits { open_requests, second_copies: false };
+        Rc::new(Context::new(Rc::downgrade(&decisions), backends, limits))
+    }
+
+    fn call(id: &'static str) -> Call {
+        let (headers, body) = (HeaderMap::new(), Bytes::new());
+        Call {
+            id: HeaderValue::from_static(id),
+            class: ClassId(0),
+            tenant: None,
+            retry: false,
+            deadline: Instant::now() + Duration::from_secs(60),
+            payload: Rc::new(Payload { method: Method::GET, target: None, headers, body }),
+        }
+    }
+
+    #[test]
+    fn a_client_that_leaves_is_told_of_once_and_one_that_was_answered_not_at_all() {
+        let decisions = Rc::new(Recorder::default());
+        let context = context(&decisions, 2);
+        let left = admit(&context, call("left")).ok().expect("room");
+        let answered = admit(&context, call("answered")).ok().expect("room");
+        assert!(context.book.finish(RequestId(1), Verdict::Failed));
+        drop((left, answered));
+        let told = decisions.0.borrow();
+        let [Event::Request(left), Event::Request(answered), Event::Aborted(gone)] = &told[..] else {
+            panic!("{told:?}")
+        };
+        assert_eq!((left.id, answered.id, *gone), (RequestId(0), RequestId(1), RequestId(0)));
+    }
+
+    #[test]
+    fn what_is_not_admitted_is_never_put_to_the_decisions() {
+        let decisions = Rc::new(Recorder::default());
+        let context = context(&decisions, 2);
+        let first = admit(&context, call("a")).ok().expect("room");
+        assert!(matches!(admit(&context, call("a")), Err(NotAdmitted::Twice)));
+        let _second = admit(&context, call("b")).ok().expect("room");
+        assert!(matches!(admit(&context, call("c")), Err(NotAdmitted::Full)));
+        assert_eq!(decisions.0.borrow().len(), 2);
+        drop(first);
+        assert!(admit(&context, call("a")).is_ok(), "its id and its room are free again");
+    }
+}
--- a/crates/proxy/src/stages/route.rs
+++ b/crates/proxy/src/stages/route.rs
@@ -1,30 +1,29 @@
 //! Puts a call where the decisions say: checks that it may go there and starts the attempt.
 
-use super::{book::Attempt, send};
-use crate::driver::Driver;
+use super::{book::Attempt, context::Context, send};
 use crate::invariant::must;
 use olivecart_decisions::{EndpointId, Nanos, Outcome, RequestId};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// Starts an attempt, or ends it as never issued.
-pub fn route(driver: &Rc<Driver>, request: RequestId, endpoint: EndpointId, cap: Nanos) {
-    let ready = driver.backends.takes_requests(endpoint);
+pub fn route(context: &Rc<Context>, request: RequestId, endpoint: EndpointId, cap: Nanos) {
+    let ready = context.backends.takes_requests(endpoint);
     must(ready, "no call is sent to a draining or unknown endpoint");
-    let (attempt, lone) = driver.book.attempt(request);
-    must(lone || driver.second_copies, "no two attempts of a request are out at once");
+    let (attempt, lone) = context.book.attempt(request);
+    must(lone || context.limits.second_copies, "no two attempts of a request are out at once");
     match attempt {
         Ok(attempt) if ready => {
             let until = match cap {
                 0 => attempt.until,
                 cap => attempt.until.min(Instant::now() + Duration::from_nanos(cap)),
             };
-            actix_rt::spawn(send::attempt(driver.clone(), Attempt { until, ..attempt }, endpoint));
+            actix_rt::spawn(send::attempt(context.clone(), Attempt { until, ..attempt }, endpoint));
         }
-        Ok(attempt) => send::ended(driver, request, attempt.number, endpoint, Outcome::Moot),
+        Ok(attempt) => send::ended(context, request, attempt.number, endpoint, Outcome::Moot),
         Err(number) => {
             must(false, "only open requests are sent");
-            send::ended(driver, request, number, endpoint, Outcome::Moot);
+            send::ended(context, request, number, endpoint, Outcome::Moot);
         }
     }
 }
--- a/crates/proxy/src/stages/send.rs
+++ b/crates/proxy/src/stages/send.rs
@@ -1,10 +1,10 @@
 //! One attempt on one connection, and exactly one outcome for it.
 
 use super::book::Attempt;
+use super::context::Context;
 use crate::answer::Seen;
 use crate::backends::Lease;
 use crate::call::{Answer, Payload};
-use crate::driver::Driver;
 use crate::platform::{BODY_LIMIT, backend};
 use actix_http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use actix_http::{Method, StatusCode};
@@ -34,11 +34,11 @@
 }
 
 /// Runs an attempt to its end and books it.
-pub async fn attempt(driver: Rc<Driver>, mut attempt: Attempt, endpoint: EndpointId) {
+pub async fn attempt(context: Rc<Context>, mut attempt: Attempt, endpoint: EndpointId) {
     let began = Instant::now();
-    let lease = driver.backends.lease(endpoint);
+    let lease = context.backends.lease(endpoint);
     let seen = lease.as_ref().map(|lease| lease.seen.clone());
-    let exchange = exchange(&driver, endpoint, lease, &attempt.payload, attempt.until);
+    let exchange = exchange(&context, endpoint, lease, &attempt.payload, attempt.until);
     let end = tokio::select! {
         biased;
         _ = &mut attempt.cancelled => Outcome::Cancelled.into(),
@@ -51,12 +51,12 @@
     };
     // The exchange is dropped by now, and with it the connection of an attempt that was given up: only then
     // may the decisions hear of it, since they may send the request elsewhere at once.
-    book(&driver, &attempt, endpoint, began.elapsed(), end);
+    book(&context, &attempt, endpoint, began.elapsed(), end);
 }
 
-fn book(driver: &Rc<Driver>, attempt: &Attempt, endpoint: EndpointId, took: Duration, end: End) {
-    let over = driver.book.attempt_ended(attempt.request, end.answer);
-    driver.tell(Event::Outcome(AttemptEnd {
+fn book(context: &Context, attempt: &Attempt, endpoint: EndpointId, took: Duration, end: End) {
+    let over = context.book.attempt_ended(attempt.request, end.answer);
+    context.tell(Event::Outcome(AttemptEnd {
         request: attempt.request,
         attempt: attempt.number,
         endpoint,
@@ -68,14 +68,14 @@
 }
 
 /// Books the end of an attempt that never started.
-pub fn ended(driver: &Rc<Driver>, request: RequestId, number: u32, endpoint: EndpointId, outcome: Outcome) {
-    let over = driver.book.attempt_ended(request, None);
+pub fn ended(context: &Context, request: RequestId, number: u32, endpoint: EndpointId, outcome: Outcome) {
+    let over = context.book.attempt_ended(request, None);
     let end = AttemptEnd { request, attempt: number, endpoint, outcome, took: 0, over, load: None };
-    driver.tell(Event::Outcome(end));
+    context.tell(Event::Outcome(end));
 }
 
 async fn exchange(
-    driver: &Driver,
+    context: &Context,
     endpoint: EndpointId,
     lease: Option<Lease>,
     payload: &Payload,
@@ -89,11 +89,11 @@
     lease.seen.bodiless.set(payload.method == Method::HEAD);
     let sent = if bodiless { request.send() } else { request.send_body(payload.body.clone()) };
     let (seen, kept) = (lease.seen.clone(), lease.kept);
-    let received = whole(driver, lease, &payload.method, sent).await;
+    let received = whole(context, lease, &payload.method, sent).await;
     let replaced = seen.replaced.take();
     let broke = matches!(received, Err(Outcome::Reset)) && kept && !replaced;
     if broke || kept && replaced {
-        driver.backends.ended_one(endpoint);
+        context.backends.ended_one(endpoint);
     }
     match received {
         Ok((head, body)) => {
@@ -117,7 +117,7 @@
 /// The whole answer, with its connection given back; or what its lack means. Danger: an answer that begins
 /// and never ends holds the request until its deadline.
 async fn whole(
-    driver: &Driver,
+    context: &Context,
     lease: Lease,
     method: &Method,
     sent: SendClientRequest,
@@ -135,7 +135,7 @@
     };
     let closes = head.headers.get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
     if !closes {
-        driver.backends.give_back(lease);
+        context.backends.give_back(lease);
     }
     Ok((head, body))
 }
@@ -178,14 +178,14 @@
 }
 
 /// Probes an endpoint and tells the decisions what came of it.
-pub async fn probe(driver: Rc<Driver>, endpoint: EndpointId) {
+pub async fn probe(context: Rc<Context>, endpoint: EndpointId) {
     let began = Instant::now();
-    let lease = driver.backends.lease(endpoint);
+    let lease = context.backends.lease(endpoint);
     let asked = async {
         let Some(lease) = lease else { return Outcome::ConnectFailed.into() };
         lease.seen.bodiless.set(false);
         let sent = backend::probe(&lease.client, lease.addr).send();
-        match whole(&driver, lease, &Method::GET, sent).await {
+        match whole(&context, lease, &Method::GET, sent).await {
             Ok((head, _)) => {
                 let outcome = backend::outcome(head.status, &head.headers);
                 End { outcome, answer: None, load: backend::load(&head.headers) }
@@ -195,5 +195,5 @@
     };
     let end = tokio::time::timeout(PROBE_LIMIT, asked).await.unwrap_or_else(|_| Outcome::Timeout.into());
     let (outcome, load) = (end.outcome, end.load);
-    driver.tell(Event::Checked { endpoint, outcome, took: began.elapsed().as_nanos() as u64, load });
+    context.tell(Event::Checked { endpoint, outcome, took: began.elapsed().as_nanos() as u64, load });
 }
