Read lengths of time exactly, and name the ones that are too long

Need: a length of time went through a float, so that one of more than 104 days was not read as it was written, and forms such as ".5s" and "1s " passed here that the generated schema refuses.

Change: digits are read as integers; BadSpan tells a wrong form from a time of more than 365 days.

--- a/crates/lab/src/scenario/span.rs
+++ b/crates/lab/src/scenario/span.rs
@@ -7,16 +7,26 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-/// A length of time, exact to the nanosecond.
+/// A length of time, exact to the nanosecond; at most 365 days.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Span(u64);
 
 /// Why a text is not a length of time.
 #[derive(Debug, thiserror::Error, PartialEq, Eq)]
-#[error("{0:?} is not a length of time: a number and one of ns, us, ms, s, m")]
-pub struct BadSpan(String);
+pub enum BadSpan {
+    /// It has another form.
+    #[error("{0:?} is not a length of time: a number and one of ns, us, ms, s, m")]
+    Form(String),
+    /// It is more than anything here lasts.
+    #[error("{0:?} is longer than 365 days")]
+    Long(String),
+}
+
+const UNITS: [(&str, u64); 5] =
+    [("ns", 1), ("us", 1000), ("ms", 1_000_000), ("s", 1_000_000_000), ("m", 60_000_000_000)];
 
-const UNITS: [(&str, f64); 5] = [("ns", 1.0), ("us", 1e3), ("ms", 1e6), ("s", 1e9), ("m", 60e9)];
+/// 365 days.
+const LONGEST: u64 = 365 * 86_400 * 1_000_000_000;
 
 impl Span {
     /// From nanoseconds.
@@ -43,17 +53,25 @@
 impl FromStr for Span {
     type Err = BadSpan;
 
+    /// Digits after the point that are finer than a nanosecond are rounded to the nearest one.
     fn from_str(text: &str) -> Result<Span, BadSpan> {
-        let bad = || BadSpan(text.to_owned());
-        let digits = text.find(|c: char| !c.is_ascii_digit() && c != '.').ok_or_else(bad)?;
-        let (number, unit) = text.split_at(digits);
-        let scale = UNITS.iter().find(|(name, _)| *name == unit.trim()).ok_or_else(bad)?.1;
-        let nanos = number.parse::<f64>().map_err(|_| bad())? * scale;
-        // A year is more than anything here lasts.
-        if nanos.is_finite() && nanos <= 365.0 * 86_400e9 {
-            Ok(Span(nanos.round() as u64))
-        } else {
-            Err(bad())
+        let bad = || BadSpan::Form(text.to_owned());
+        let end = text.find(|c: char| !c.is_ascii_digit() && c != '.').ok_or_else(bad)?;
+        let (number, unit) = text.split_at(end);
+        let scale = UNITS.iter().find(|(name, _)| *name == unit.trim_start()).ok_or_else(bad)?.1;
+        let (whole, part) = number.split_once('.').unwrap_or((number, "0"));
+        let digits = |text: &str| !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit());
+        if !digits(whole) || !digits(part) {
+            return Err(bad());
+        }
+        // Twenty digits are finer than a nanosecond of a year, and fit.
+        let part = &part[..part.len().min(20)];
+        let one = 10u128.pow(part.len() as u32);
+        let part = (part.parse::<u128>().map_err(|_| bad())? * u128::from(scale) + one / 2) / one;
+        let whole = whole.parse::<u64>().ok().and_then(|w| w.checked_mul(scale));
+        match whole.and_then(|w| w.checked_add(u64::try_from(part).ok()?)) {
+            Some(nanos) if nanos <= LONGEST => Ok(Span(nanos)),
+            _ => Err(BadSpan::Long(text.to_owned())),
         }
     }
 }
