Read and check scenarios: every finding at once, with file, line, key and what is right

Need: whoever writes a scenario must hear of all that is wrong with it, where, and what would be right; whoever plays one must not have to check it again, and must see the same fleet as the checks.

Change: Scenario::read and ::parse give a Checked, which carries the digest (XXH3 of the canonical JSON), or Problems, printed as a compiler does. Three stages: keys, types and ranges against the schema that schemars generates (the ranges now stand in the types as attributes, once for editors and for the reader); contradictions between values; what follows from the fleet's size (load, faults that touch nobody).

Weighed: serde alone stops at the first unknown key or wrong type; a JSON Schema library would say it in its own words and bring a regular expression engine and more for the score of keywords that schemars makes of these types.

--- /dev/null
+++ b/crates/lab/src/scenario/key.rs
@@ -0,0 +1,57 @@
+//! Where a value stands in a scenario: `tier[0].kind[1].speed`.
+
+use std::fmt;
+
+/// The way from the top of a scenario to a value.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Key(Vec<Step>);
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Step {
+    Name(String),
+    At(usize),
+}
+
+impl Key {
+    /// The same with a name behind it.
+    pub fn name(&self, name: impl Into<String>) -> Key {
+        self.with(Step::Name(name.into()))
+    }
+
+    /// The same with an index behind it.
+    pub fn at(&self, index: usize) -> Key {
+        self.with(Step::At(index))
+    }
+
+    /// What contains it; none at the top.
+    pub fn parent(&self) -> Option<Key> {
+        let (_, rest) = self.0.split_last()?;
+        Some(Key(rest.to_vec()))
+    }
+
+    fn with(&self, step: Step) -> Key {
+        let mut steps = self.0.clone();
+        steps.push(step);
+        Key(steps)
+    }
+}
+
+/// The key of a name at the top.
+pub(super) fn top(name: &str) -> Key {
+    Key::default().name(name)
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let bare = |c: char| c.is_ascii_alphanumeric() || c == '_' || c == '-';
+        for (i, step) in self.0.iter().enumerate() {
+            let dot = if i == 0 { "" } else { "." };
+            match step {
+                Step::At(index) => write!(f, "[{index}]")?,
+                Step::Name(name) if !name.is_empty() && name.chars().all(bare) => write!(f, "{dot}{name}")?,
+                Step::Name(name) => write!(f, "{dot}{name:?}")?,
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/lab/src/scenario/read.rs
@@ -0,0 +1,152 @@
+//! Reading scenarios: from a file or a text to one that has passed every check.
+
+use super::key::{Key, top};
+use super::problem::{Complaint, Complaints, Finding, Problems};
+use super::source::Source;
+use super::{Scenario, VERSION, check, schema, shape};
+use serde_json::Value;
+use std::ops::Deref;
+use std::path::Path;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// A scenario that has passed every check. What plays a scenario takes this, so that it need not check again.
+#[derive(Clone, Debug)]
+pub struct Checked {
+    scenario: Scenario,
+    digest: String,
+}
+
+impl Checked {
+    /// Checks a scenario that was not read from a text, or was changed since.
+    ///
+    /// # Errors
+    /// All that is wrong with it, by key alone.
+    pub fn new(scenario: Scenario) -> Result<Checked, Problems> {
+        let mut complaints = Complaints::default();
+        let checked = serde_json::to_value(&scenario).map(|value| check_value(value, &mut complaints));
+        match checked {
+            Ok(Some(checked)) => Ok(checked),
+            Ok(None) => Err(without_text(&scenario.name, complaints)),
+            Err(error) => {
+                complaints.add(Key::default(), error.to_string(), "");
+                Err(without_text(&scenario.name, complaints))
+            }
+        }
+    }
+
+    /// The hash (XXH3, 64 bits, hexadecimal) of the scenario with all defaults filled in: the same whatever
+    /// the order of the keys in the file, and however a length of time or a number was written.
+    pub fn digest(&self) -> &str {
+        &self.digest
+    }
+
+    /// The scenario, to be changed.
+    pub fn into_inner(self) -> Scenario {
+        self.scenario
+    }
+}
+
+impl Deref for Checked {
+    type Target = Scenario;
+
+    fn deref(&self) -> &Scenario {
+        &self.scenario
+    }
+}
+
+impl Scenario {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    /// All that is wrong with it, with file, line, column and key.
+    pub fn read(path: &Path) -> Result<Checked, Problems> {
+        let file = path.display().to_string();
+        match std::fs::read_to_string(path) {
+            Ok(text) => Scenario::parse(&file, &text),
+            Err(error) => {
+                let what = format!("cannot be read: {error}");
+                let finding = Finding { file, key: String::new(), place: None, what, right: String::new() };
+                Err(Problems(vec![finding]))
+            }
+        }
+    }
+
+    /// Checks a text; `name` is what findings call it, usually its file.
+    ///
+    /// # Errors
+    /// All that is wrong with it, with line, column and key.
+    pub fn parse(name: &str, text: &str) -> Result<Checked, Problems> {
+        let (source, value, mut complaints) = Source::read(name, text)?;
+        let checked = check_value(value, &mut complaints);
+        checked.ok_or_else(|| source.locate(complaints))
+    }
+}
+
+/// Reads and checks files, and gathers what is wrong with any of them.
+///
+/// # Errors
+/// All findings, file by file.
+pub fn check_files<P: AsRef<Path>>(paths: &[P]) -> Result<(), Problems> {
+    let problems = paths.iter().filter_map(|path| Scenario::read(path.as_ref()).err());
+    let findings: Vec<Finding> = problems.flat_map(|problems| problems.0).collect();
+    if findings.is_empty() { Ok(()) } else { Err(Problems(findings)) }
+}
+
+/// Checks a tree of values; none where there were complaints, before or now.
+///
+/// Each stage takes what the one before it has let pass for granted: what was misspelt or has a wrong type is
+/// not reported again as a contradiction.
+fn check_value(mut value: Value, complaints: &mut Complaints) -> Option<Checked> {
+    match &value["version"] {
+        Value::Number(version) if version.as_u64() != Some(VERSION.into()) => {
+            let what = format!("version {version} of the format");
+            complaints.add(top("version"), what, format!("this build reads version {VERSION}"));
+            return None;
+        }
+        _ => (),
+    }
+    let unreadable = complaints.0.len();
+    shape::check(schema::tree(), &mut value, complaints);
+    let is_sound = complaints.0.is_empty();
+    if unreadable > 0 {
+        return None;
+    }
+    let scenario: Scenario = match serde_json::from_value(value) {
+        Ok(scenario) => scenario,
+        Err(error) => {
+            if is_sound {
+                complaints.add(Key::default(), error.to_string(), "");
+            }
+            return None;
+        }
+    };
+    check::check(&scenario, complaints);
+    if complaints.0.is_empty() {
+        check::check_figures(&scenario, complaints);
+    }
+    if !complaints.0.is_empty() {
+        return None;
+    }
+    match serde_json::to_string(&scenario) {
+        Ok(canonical) => {
+            // Fields are written in the order of the types, defaults included.
+            let digest = format!("{:016x}", xxh3_64(canonical.as_bytes()));
+            Some(Checked { scenario, digest })
+        }
+        Err(error) => {
+            complaints.add(Key::default(), error.to_string(), "");
+            None
+        }
+    }
+}
+
+fn without_text(name: &str, complaints: Complaints) -> Problems {
+    let finding = |(key, complaint): (Key, Complaint)| Finding {
+        file: name.to_owned(),
+        key: key.to_string(),
+        place: None,
+        what: complaint.what,
+        right: complaint.right,
+    };
+    Problems(complaints.0.into_iter().map(finding).collect())
+}
--- /dev/null
+++ b/crates/lab/src/scenario/schema.rs
@@ -0,0 +1,16 @@
+//! The JSON Schema of scenario files, generated from the types.
+
+use super::Scenario;
+use serde_json::Value;
+use std::sync::LazyLock;
+
+static SCHEMA: LazyLock<Value> = LazyLock::new(|| schemars::schema_for!(Scenario).to_value());
+
+/// The JSON Schema of scenario files, as `scenarios/schema.json` holds it.
+pub fn schema() -> String {
+    format!("{:#}\n", *SCHEMA)
+}
+
+pub(super) fn tree() -> &'static Value {
+    &SCHEMA
+}
--- a/crates/lab/src/scenario/types.rs
+++ b/crates/lab/src/scenario/types.rs
@@ -1,7 +1,11 @@
 //! What a scenario file says: the fleet, its clients, what goes wrong, and the bounds a run must keep.
 //!
 //! Durations are written `"250ms"`, ratios as plain numbers. Every field's documentation gives its unit and
-//! range; `check.rs` enforces the ranges, and the JSON Schema is generated from these types.
+//! range. The JSON Schema is generated from these types: the ranges of single numbers stand in it, are
+//! enforced by `shape.rs`, and the documentation is what a finding quotes as right. What contradicts
+//! something else is found by `check`.
+//!
+//! Names of all things are 1 to 64 letters, digits, `_`, `-` or `.`, each given once.
 
 use super::span::Span;
 use schemars::JsonSchema;
@@ -15,24 +19,27 @@
 #[serde(deny_unknown_fields)]
 pub struct Scenario {
     /// Version of the format; 1.
+    #[schemars(extend("const" = 1))]
     pub version: u32,
     /// Its name, as results give it.
     pub name: String,
     /// What it is for, one sentence.
     #[serde(default)]
     pub about: String,
-    /// How long clients keep arriving; what is open then is played to its end.
+    /// How long clients keep arriving; what is open then is played to its end. Above 0s, up to 24 hours.
     pub length: Span,
-    /// What arrives before this is played but not counted.
+    /// What arrives before this is played but not counted; below the length.
     #[serde(default)]
     pub warmup: Span,
     /// Zones (failure domains) by name, at least one.
     #[serde(default = "one_zone")]
+    #[schemars(length(min = 1))]
     pub zones: Vec<String>,
     /// Delays of the network.
     #[serde(default)]
     pub network: Network,
     /// Classes of requests, at least one; their shares are relative to each other.
+    #[schemars(length(min = 1))]
     pub class: Vec<Class>,
     /// Tenants; may be none.
     #[serde(default)]
@@ -40,6 +47,7 @@
     /// Who calls.
     pub clients: Clients,
     /// Tiers, the one that clients call first.
+    #[schemars(length(min = 1))]
     pub tier: Vec<Tier>,
     /// The service that tells proxies which servers there are.
     #[serde(default)]
@@ -76,8 +84,10 @@
     /// Between clients and the first tier's proxies; at least 20us.
     pub client: Span,
     /// Mean of an exponential delay on top, as a share of the base; 0 to 10.
+    #[schemars(range(min = 0, max = 10))]
     pub jitter: f64,
     /// Probability that an attempt's connection breaks after the request was written; 0 to 1.
+    #[schemars(range(min = 0, max = 1))]
     pub reset_rate: f64,
 }
 
@@ -121,23 +131,26 @@
     pub name: String,
     /// Its part of the requests, relative to the other classes' shares; above 0.
     #[serde(default = "one")]
+    #[schemars(extend("exclusiveMinimum" = 0))]
     pub share: f64,
-    /// An answer within this time has its full worth.
+    /// An answer within this time has its full worth; above 0s, and above what the network alone takes.
     pub aim: Span,
     /// How long a client waits in all, over all its tries; at least the aim.
     pub deadline: Span,
     /// What an answer in time is worth; above 0.
     #[serde(default = "one")]
+    #[schemars(extend("exclusiveMinimum" = 0))]
     pub worth: f64,
     /// Share of the worth left to an answer between aim and deadline; 0 to 1.
     #[serde(default)]
+    #[schemars(range(min = 0, max = 1))]
     pub late_worth: f64,
     /// Whether it may run twice.
     pub effect: Effect,
     /// For `by_key`: where a repeat is dropped.
     #[serde(default)]
     pub group: Group,
-    /// For `by_key`: for how long a repeat is dropped.
+    /// For `by_key`, and needed there: for how long a repeat is dropped; at least the aim.
     pub window: Option<Span>,
     /// Work of a request over all tiers, as time on one core of speed 1.
     pub work: Distribution,
@@ -166,6 +179,7 @@
         /// Its mean.
         mean: Span,
         /// Standard deviation over mean; 0 to 10.
+        #[schemars(range(min = 0, max = 10))]
         cv: f64,
     },
     /// Gamma.
@@ -173,6 +187,7 @@
         /// Its mean.
         mean: Span,
         /// Standard deviation over mean; above 0, up to 10.
+        #[schemars(range(max = 10), extend("exclusiveMinimum" = 0))]
         cv: f64,
     },
     /// Pareto: a heavy tail.
@@ -180,6 +195,7 @@
         /// Its mean.
         mean: Span,
         /// Tail index; above 1, up to 20.
+        #[schemars(range(max = 20), extend("exclusiveMinimum" = 1))]
         shape: f64,
     },
     /// Uniform between two values.
@@ -198,8 +214,10 @@
     /// Its name.
     pub name: String,
     /// Its share of the service; above 0, all together at most 1.
+    #[schemars(range(max = 1), extend("exclusiveMinimum" = 0))]
     pub share: f64,
     /// Its part of the traffic, relative to the others'; its share unless given.
+    #[schemars(extend("exclusiveMinimum" = 0))]
     pub traffic: Option<f64>,
 }
 
@@ -213,13 +231,15 @@
     /// Poisson whose rate swings like a sine.
     Wave {
         /// Amplitude over the mean; 0 to 1.
+        #[schemars(range(min = 0, max = 1))]
         swing: f64,
         /// Length of a wave.
         period: Span,
     },
     /// Poisson with bursts.
     Bursts {
-        /// The rate in a burst over the rate outside; above 1.
+        /// The rate in a burst over the rate outside; above 1, up to 1000.
+        #[schemars(range(max = 1000), extend("exclusiveMinimum" = 1))]
         factor: f64,
         /// From one burst's begin to the next.
         every: Span,
@@ -232,24 +252,29 @@
 #[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Clients {
-    /// Requests a second, first tries only, over all; above 0.
+    /// Requests a second, first tries only, over all; above 0, up to 20 times what the fleet can do.
+    #[schemars(extend("exclusiveMinimum" = 0))]
     pub rate: Option<f64>,
-    /// The same as a share of what the fleet can do (the tier that runs out first); above 0.
+    /// The same as a share of what the fleet can do (the tier that runs out first); above 0, up to 20.
+    #[schemars(extend("exclusiveMinimum" = 0))]
     pub load: Option<f64>,
     /// How it varies.
     #[serde(default)]
     pub shape: Shape,
     /// Tries after the first; 0 to 10.
     #[serde(default)]
+    #[schemars(range(max = 10))]
     pub retries: u32,
-    /// Part of a class's deadline after which a try is given up; 0 to 1.
+    /// Part of a class's deadline after which a try is given up; above 0, up to 1.
     #[serde(default = "one")]
+    #[schemars(range(max = 1), extend("exclusiveMinimum" = 0))]
     pub patience: f64,
     /// Wait before another try.
     #[serde(default)]
     pub backoff: Span,
     /// Share of the clients that stay away as long as a refusal tells them; 0 to 1.
     #[serde(default)]
+    #[schemars(range(min = 0, max = 1))]
     pub honours_retry_after: f64,
     /// Clients mark their later tries.
     #[serde(default)]
@@ -270,24 +295,30 @@
     /// Its name.
     pub name: String,
     /// How many servers; spread over the zones in turn. 1 to 100000.
+    #[schemars(range(min = 1, max = 100_000))]
     pub servers: u32,
-    /// Proxies in front of the first tier, spread over the zones in turn; each server of a tier has one of its
-    /// own for the next. 1 to 100000.
+    /// Proxies in front of the first tier, spread over the zones in turn; each server of a tier has one of
+    /// its own for the next, so that later tiers have no such number. 1 to 100000.
     #[serde(default = "one_proxy")]
+    #[schemars(range(min = 1, max = 100_000))]
     pub proxies: u32,
-    /// Servers in a cell; 0: each zone is one cell.
+    /// Servers in a cell, which lies in one zone; 0: each zone is one cell. At most the servers of a zone.
     #[serde(default)]
     pub cell_size: u32,
     /// Its part of a request's work for each call that it gets; above 0.
     #[serde(default = "one")]
+    #[schemars(extend("exclusiveMinimum" = 0))]
     pub work_share: f64,
     /// Calls that one request of the tier above makes here, on average, one after another; above 0, up to 20.
+    /// The first tier has no such number: clients call it once for each try.
     #[serde(default = "one")]
+    #[schemars(range(max = 20), extend("exclusiveMinimum" = 0))]
     pub calls: f64,
     /// What the list tells of a server's size.
     #[serde(default)]
     pub weights: Weights,
     /// Kinds of machine, at least one.
+    #[schemars(length(min = 1))]
     pub kind: Vec<Kind>,
 }
 
@@ -329,20 +360,25 @@
     pub name: String,
     /// Its part of the tier's servers, relative to the other kinds'; above 0.
     #[serde(default = "one")]
+    #[schemars(extend("exclusiveMinimum" = 0))]
     pub share: f64,
     /// Cores; 1 to 256.
+    #[schemars(range(min = 1, max = 256))]
     pub cores: u32,
-    /// Least and greatest speed of a core; each server has its own, drawn evenly. Above 0.
+    /// Least and greatest speed of a core; each server has its own, drawn evenly. 0.001 to 1000.
     #[serde(default = "unit_speed")]
+    #[schemars(inner(range(min = 0.001, max = 1000)))]
     pub speed: [f64; 2],
     /// Requests in work at a time, those that wait for the next tier included; at least 1.
     #[serde(default = "many")]
+    #[schemars(range(min = 1))]
     pub slots: u32,
     /// Requests that wait for a slot; more are turned away.
     #[serde(default = "many")]
     pub queue: u32,
     /// Probability that a request ends in an error at once; 0 to 1.
     #[serde(default)]
+    #[schemars(range(min = 0, max = 1))]
     pub error_rate: f64,
     /// How a cold server warms up; none: it is warm at once.
     pub cold: Option<Cold>,
@@ -376,6 +412,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Cold {
     /// Share of its speed with which it starts; above 0, up to 1.
+    #[schemars(range(max = 1), extend("exclusiveMinimum" = 0))]
     pub from: f64,
     /// It is warm after this; the speed rises evenly.
     pub warm_in: Span,
@@ -385,11 +422,13 @@
 #[derive(Clone, Copy, Debug, Deserialize, Serialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Crowd {
-    /// Crowded: more requests here than this many for each core...
+    /// Crowded: more requests here than this many for each core, at least 1...
+    #[schemars(range(min = 1))]
     pub per_core: f64,
     /// ...for this long.
     pub after: Span,
-    /// Then it is this many times slower; at least 1.
+    /// Then it is this many times slower; 1 to 1000.
+    #[schemars(range(min = 1, max = 1000))]
     pub slower: f64,
     /// Until it had less than one request a core for this long.
     pub rest: Span,
@@ -401,7 +440,7 @@
 pub struct Pause {
     /// Mean time between two; exponential.
     pub every: Span,
-    /// Length of one.
+    /// Length of one; above 0s, below `every`.
     pub length: Span,
 }
 
@@ -412,10 +451,11 @@
     /// Most that are open; further ones are refused. 0: no limit.
     pub cap: u32,
     /// Round trips before the first request on a new one can be written; 0 to 10.
+    #[schemars(range(max = 10))]
     pub handshake_rtts: u32,
     /// Work that a new one costs.
     pub handshake_work: Span,
-    /// One that is idle for this long is closed.
+    /// One that is idle for this long is closed; above 0s.
     pub idle: Span,
 }
 
@@ -434,13 +474,14 @@
 #[derive(Clone, Copy, Debug, Deserialize, Serialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Report {
-    /// A new one is made this often.
+    /// A new one is made this often; above 0s.
     pub period: Span,
     /// It is told this long after it was made.
     #[serde(default)]
     pub delay: Span,
     /// Standard deviation of a factor on its figures; 0 to 2.
     #[serde(default)]
+    #[schemars(range(min = 0, max = 2))]
     pub noise: f64,
 }
 
@@ -453,8 +494,9 @@
     /// It hears of a change this long afterwards.
     pub lag: Span,
     /// Calls that it answers a second, one after another; above 0.
+    #[schemars(extend("exclusiveMinimum" = 0))]
     pub calls_per_s: f64,
-    /// A call that waited for this long fails.
+    /// A call that waited for this long fails; above 0s.
     pub timeout: Span,
 }
 
@@ -483,7 +525,8 @@
 #[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct Limits {
-    /// Most attempts of one request; at least 1.
+    /// Most attempts of one request; 1 to 100.
+    #[schemars(range(min = 1, max = 100))]
     pub max_attempts: u32,
     /// Attempts may be called off.
     pub cancel: bool,
@@ -491,11 +534,12 @@
     pub probes: bool,
     /// Longest come-back time that a refusal may name; 0: none.
     pub max_retry_after: Span,
-    /// A connection that has not come up in this time has failed.
+    /// A connection that has not come up in this time has failed; above what its round trips take.
     pub connect_timeout: Span,
-    /// A probe without an answer in this time has failed.
+    /// A probe without an answer in this time has failed; above what its round trip takes.
     pub probe_timeout: Span,
     /// Open requests of a proxy; further ones are refused. At least 1.
+    #[schemars(range(min = 1))]
     pub most_held: u32,
     /// A call to the next tier carries the time its caller has left; if not, its class's whole deadline.
     pub passes_deadline: bool,
@@ -525,15 +569,17 @@
     pub answer_grace: Span,
     /// Sends to a server end this long after the proxy was told that it drains or is gone.
     pub drain_grace: Span,
-    /// A cold server that is sent more than this multiple of what it can do...
+    /// A cold server that is sent more than this multiple of what it can do, at least 1...
+    #[schemars(range(min = 1))]
     pub fall_multiple: f64,
-    /// ...for this long falls over and stays down.
+    /// ...for this long falls over and stays down. Above 0s.
     pub fall_window: Span,
-    /// A cold server can do at least this share of what it can do warm. Told to proxies.
+    /// A cold server can do at least this share of what it can do warm; above 0, up to 1. Told to proxies.
+    #[schemars(range(max = 1), extend("exclusiveMinimum" = 0))]
     pub cold_share: f64,
-    /// It is warm after this at the latest. Told to proxies.
+    /// It is warm after this at the latest; above 0s. Told to proxies.
     pub cold_time: Span,
-    /// A proxy that has neither watched nor asked for this long counts as told.
+    /// A proxy that has neither watched nor asked for this long counts as told; above 0s.
     pub must_ask_in: Span,
 }
 
@@ -553,18 +599,24 @@
 }
 
 /// Something that goes wrong for a while.
+///
+/// What a kind has no use for must not be given. `tier`, `machine`, `zone` and `part` say which servers
+/// `crash`, `fast_errors`, `slow`, `hang`, `late_reports`, `rolling_deploy` and `resets` touch; `zone` and
+/// `part` which proxies `proxy_restart` does; `part` which clients `retry_storm` does. `zone_loss` and
+/// `partition` need a zone, `tenant_flood` needs a tenant. `discovery_outage` and `stale_list` touch all.
 #[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Fault {
     /// What.
     pub kind: FaultKind,
-    /// When it begins.
+    /// When it begins; before clients stop arriving.
     pub start: Span,
-    /// How long it lasts.
+    /// How long it lasts; above 0s for all but `crash` and `proxy_restart`. It may outlast the clients.
     #[serde(default)]
     pub length: Span,
-    /// Share of those it can touch that it touches; above 0, up to 1.
+    /// Share of those it can touch that it touches, rounded to whole ones; above 0, up to 1.
     #[serde(default = "one")]
+    #[schemars(range(max = 1), extend("exclusiveMinimum" = 0))]
     pub part: f64,
     /// How strong, in the unit that its kind names.
     pub strength: Option<f64>,
@@ -584,9 +636,9 @@
 pub enum FaultKind {
     /// Servers die at once and come back cold after `length`.
     Crash,
-    /// Servers fail requests at once. Strength: share that fails, 0 to 1.
+    /// Servers fail requests at once. Strength: share that fails, above 0, up to 1.
     FastErrors,
-    /// Servers turn slower. Strength: how many times, above 1.
+    /// Servers turn slower. Strength: how many times, above 1, up to 1000.
     Slow,
     /// Servers pass probes, take requests and answer none.
     Hang,
@@ -598,18 +650,21 @@
     DiscoveryOutage,
     /// Discovery hears nothing new: what it tells is old.
     StaleList,
-    /// Load reports come later. Strength: seconds.
+    /// Load reports come later. Strength: seconds, above 0, up to 3600.
     LateReports,
     /// Servers are replaced a batch after another: drained for `length` over the number of batches, then
     /// restarted cold under a new id. Strength: share of the tier in a batch, above 0, up to 1.
     RollingDeploy,
-    /// A tenant sends more. Strength: how many times its usual traffic, above 1.
+    /// A tenant sends more. Strength: how many times its usual traffic, above 1, up to
+    /// 1000.
     TenantFlood,
-    /// Clients try again at once, whatever they were told. Strength: tries after the first.
+    /// Clients try again at once, whatever they were told. Strength: tries after the first, 1
+    /// to 20.
     RetryStorm,
     /// First-tier proxies die at once; new ones take their places after `length`.
     ProxyRestart,
-    /// Connections break after the request was written. Strength: probability for each attempt, 0 to 1.
+    /// Connections break after the request was written. Strength: probability for each attempt,
+    /// above 0, up to 1.
     Resets,
 }
 
@@ -617,13 +672,17 @@
 #[derive(Clone, Debug, Default, Deserialize, Serialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct Bounds {
-    /// Least and greatest goodput: worth answered in time over worth asked for.
+    /// Least and greatest goodput: worth answered in time over worth asked for; 0 to 1 each.
+    #[schemars(inner(range(min = 0, max = 1)))]
     pub goodput: Option<[f64; 2]>,
-    /// Least goodput of the worst window of ten seconds.
+    /// Least goodput of the worst window of ten seconds; 0 to 1.
+    #[schemars(range(min = 0, max = 1))]
     pub worst_window: Option<f64>,
-    /// Most attempts for each request.
+    /// Most attempts for each request; above 0.
+    #[schemars(extend("exclusiveMinimum" = 0))]
     pub attempts: Option<f64>,
-    /// Most refused, as a share of first tries.
+    /// Most refused, as a share of first tries; 0 to 1.
+    #[schemars(range(min = 0, max = 1))]
     pub refused: Option<f64>,
 }
 
@@ -631,9 +690,13 @@
 #[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct Model {
-    /// Events that may wait at a time; a run that needs more stops and says so.
+    /// Events that may wait at a time; a run that needs more stops and says so. At least
+    /// 1000.
+    #[schemars(range(min = 1000))]
     pub most_events: u64,
-    /// Requests that clients may have open at a time; a run that needs more stops and says so.
+    /// Requests that clients may have open at a time; a run that needs more stops and says so. At
+    /// least 1.
+    #[schemars(range(min = 1))]
     pub most_open: u64,
 }
 
