Add the scenarios of the lab: one for each fault, queues with formulas, and a large fleet

Need: the regression suite of the decisions, the queueing truth and the measurement of the model's own cost need scenarios that everybody plays alike.

No bounds yet: they come from measured runs.

--- a/crates/lab/tests/scenario_files.rs
+++ b/crates/lab/tests/scenario_files.rs
@@ -1,4 +1,5 @@
-//! Files under `tests/bad/` are refused with exactly the findings that their first lines name.
+//! The files under `scenarios/` read without findings, and those under `tests/bad/` with exactly the findings
+//! that their first lines name.
 
 use olivecart_lab::scenario::{Checked, Scenario, Seat, Span, check_files, schema};
 use proptest::prelude::*;
@@ -13,6 +14,22 @@
     files
 }
 
+fn scenarios() -> Vec<Checked> {
+    files("../../scenarios").iter().map(|f| Scenario::read(f).unwrap_or_else(|e| panic!("{e}"))).collect()
+}
+
+#[test]
+fn every_scenario_of_the_project_is_right_and_called_like_its_file() {
+    let scenarios = scenarios();
+    assert!(scenarios.len() >= 20);
+    for (file, scenario) in files("../../scenarios").iter().zip(&scenarios) {
+        assert_eq!(file.file_stem().unwrap(), scenario.name.as_str());
+        assert!(!scenario.about.is_empty(), "{}", scenario.name);
+    }
+    let digests: BTreeSet<_> = scenarios.iter().map(Checked::digest).collect();
+    assert_eq!(digests.len(), scenarios.len());
+}
+
 #[test]
 fn every_bad_scenario_is_refused_for_its_reason_alone() {
     let files = files("tests/bad");
@@ -132,6 +149,7 @@
     let problems = check_files(&[syntax.as_path(), missing]).unwrap_err();
     assert_eq!(problems.findings().len(), 2);
     assert!(problems.to_string().contains(" --> none.toml:\n"), "{problems}");
+    assert_eq!(check_files(&files("../../scenarios")), Ok(()));
 }
 
 #[test]
