--- a/crates/lab/src/engine/mod.rs
+++ b/crates/lab/src/engine/mod.rs
@@ -133,6 +133,9 @@
     pub windows: u64,
 }
 
+/// Events on their way from one thread to another.
+type Letters<M> = Mutex<Vec<Event<<M as Model>::Message>>>;
+
 /// What the threads share.
 struct Meeting<M: Model> {
     barrier: Barrier,
@@ -141,7 +144,7 @@
     waiting: Vec<AtomicU64>,
     open: Vec<AtomicU64>,
     /// By thread that sends and thread that receives.
-    mail: Vec<Vec<Mutex<Vec<Event<M::Message>>>>>,
+    mail: Vec<Vec<Letters<M>>>,
     /// By thread that posts and thread that hears.
     posts: Vec<Vec<Mutex<Vec<M::Post>>>>,
     /// A thread panicked: all end.
--- a/crates/lab/src/engine/tests.rs
+++ b/crates/lab/src/engine/tests.rs
@@ -40,10 +40,10 @@
         let mix = |a: u64, b: u64| (a ^ b).wrapping_mul(0x9E37_79B9_7F4A_7C15).rotate_left(29);
         node.state = mix(node.state, token ^ now);
         node.seen = mix(node.seen, node.state ^ *heard);
-        if node.state % 50 == 0 {
+        if node.state.is_multiple_of(50) {
             out.post(1);
         }
-        if node.state % 3 == 0 {
+        if node.state.is_multiple_of(3) {
             out.wake(now + node.state % 5, node.state >> 1); // often at once
         } else {
             out.send((node.state >> 20) as u32 % self.nodes, now + 100 + node.state % 400, node.state >> 1);
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,6 +2,7 @@
 //! sockets, and experiments that compare.
 
 pub mod engine;
+pub mod model;
 pub mod policy;
 pub mod run;
 pub mod scenario;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,7 +1,9 @@
 //! The command `olivecart-lab`.
 
+mod cli;
+
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    ExitCode::SUCCESS
+    cli::run()
 }
--- /dev/null
+++ b/crates/lab/src/model/sample.rs
@@ -0,0 +1,95 @@
+//! Draws from the distributions that scenarios name.
+
+use crate::scenario::Distribution;
+use rand::Rng;
+use rand_distr::{Distribution as _, Exp1, Gamma, LogNormal, Pareto};
+
+/// Draws lengths of time, in nanoseconds.
+#[derive(Clone, Copy, Debug)]
+pub enum Sampler {
+    /// Always the same.
+    Fixed(f64),
+    /// Exponential with a mean.
+    Exponential(f64),
+    /// Log-normal.
+    LogNormal(LogNormal<f64>),
+    /// Gamma.
+    Gamma(Gamma<f64>),
+    /// Pareto.
+    Pareto(Pareto<f64>),
+    /// Uniform: least, and the width.
+    Uniform(f64, f64),
+}
+
+impl Sampler {
+    /// For a distribution whose parameters were checked; one that no sampler can be made of is always its mean.
+    pub fn new(of: &Distribution) -> Sampler {
+        let mean = of.mean_s() * 1e9;
+        let fixed = Sampler::Fixed(mean);
+        match of {
+            Distribution::Fixed { .. } => fixed,
+            Distribution::Exponential { .. } => Sampler::Exponential(mean),
+            Distribution::Lognormal { cv, .. } => {
+                let variance = (1.0 + cv * cv).ln();
+                let normal = LogNormal::new(mean.ln() - variance / 2.0, variance.sqrt());
+                normal.map_or(fixed, Sampler::LogNormal)
+            }
+            Distribution::Gamma { cv, .. } => {
+                let shape = 1.0 / (cv * cv);
+                Gamma::new(shape, mean / shape).map_or(fixed, Sampler::Gamma)
+            }
+            Distribution::Pareto { shape, .. } => {
+                Pareto::new(mean * (shape - 1.0) / shape, *shape).map_or(fixed, Sampler::Pareto)
+            }
+            Distribution::Uniform { least, most } => {
+                Sampler::Uniform(least.nanos() as f64, most.nanos().saturating_sub(least.nanos()) as f64)
+            }
+        }
+    }
+
+    /// One draw.
+    pub fn draw(&self, rng: &mut impl Rng) -> u64 {
+        let value = match self {
+            Sampler::Fixed(value) => *value,
+            Sampler::Exponential(mean) => mean * rng.sample::<f64, _>(Exp1),
+            Sampler::LogNormal(d) => d.sample(rng),
+            Sampler::Gamma(d) => d.sample(rng),
+            Sampler::Pareto(d) => d.sample(rng),
+            Sampler::Uniform(least, width) => least + width * rng.random::<f64>(),
+        };
+        // A day of work is more than any request is; a heavy tail may draw it.
+        value.clamp(0.0, 86_400e9) as u64
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::scenario::Span;
+    use rand::SeedableRng;
+
+    #[test]
+    fn every_distribution_has_the_mean_and_the_spread_that_it_names() {
+        let mean = Span::from_nanos(10_000_000);
+        let all = [
+            (Distribution::Fixed { mean }, 0.0),
+            (Distribution::Exponential { mean }, 1.0),
+            (Distribution::Lognormal { mean, cv: 0.7 }, 0.7),
+            (Distribution::Gamma { mean, cv: 0.5 }, 0.5),
+            (Distribution::Pareto { mean, shape: 6.0 }, (1.0 / (6.0 * 4.0f64)).sqrt()),
+            (
+                Distribution::Uniform { least: Span::default(), most: Span::from_nanos(20_000_000) },
+                1.0 / 3f64.sqrt(),
+            ),
+        ];
+        let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(1);
+        for (distribution, cv) in all {
+            let sampler = Sampler::new(&distribution);
+            let draws: Vec<f64> = (0..200_000).map(|_| sampler.draw(&mut rng) as f64 / 1e7).collect();
+            let mean = draws.iter().sum::<f64>() / draws.len() as f64;
+            let variance = draws.iter().map(|d| (d - mean).powi(2)).sum::<f64>() / draws.len() as f64;
+            assert!((mean - 1.0).abs() < 0.01, "{distribution:?}: mean {mean}");
+            assert!((variance.sqrt() - cv).abs() < 0.02, "{distribution:?}: cv {}", variance.sqrt());
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/model/world.rs
@@ -0,0 +1,325 @@
+//! A scenario made ready to be played: who there is, where, and what the draws of its seed came to. Nothing
+//! in it changes during a run, and all threads read it.
+
+use super::faults::Timeline;
+use super::sample::Sampler;
+use crate::policy::Maker;
+use crate::scenario::{self, DiscoveryMode, Scenario, Weights};
+use olivecart_decisions as decisions;
+use olivecart_decisions::{CellId, KindId, Nanos, ZoneId};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::rc::Rc;
+
+/// No tenant.
+pub const NOBODY: u16 = u16::MAX;
+
+/// Worth is counted in millionths, in whole numbers: sums then don't depend on their order.
+pub const WORTH: f64 = 1e6;
+
+/// A class of requests.
+pub struct Class {
+    /// For the decisions.
+    pub told: decisions::Class,
+    /// Worth of an answer in time, and of a late one, in millionths.
+    pub worth: u64,
+    /// The latter.
+    pub late_worth: u64,
+    /// Draws a request's work over all tiers.
+    pub work: Sampler,
+}
+
+/// One server as the scenario and the seed make it.
+pub struct ServerSpec {
+    /// Its name, the same for all.
+    pub name: String,
+    /// Its zone.
+    pub zone: u16,
+    /// Its cell, numbered within its tier.
+    pub cell: u64,
+    /// Its kind, an index into its tier's kinds.
+    pub kind: u16,
+    /// The speed of its cores.
+    pub speed: f64,
+    /// Its size as the list tells it.
+    pub weight: f64,
+    /// Its machine's number.
+    pub machine: u32,
+    /// It is there from the begin; if not, it takes another one's place in a deploy.
+    pub first: bool,
+}
+
+/// One tier.
+pub struct Tier {
+    /// All servers that there will ever be; the first so many are there at the begin.
+    pub servers: Vec<ServerSpec>,
+    /// Numbers of the proxies that call it, as machines.
+    pub callers: Vec<u32>,
+}
+
+/// One machine: a server with the proxy for its calls to the next tier, or a proxy of the first tier.
+pub struct MachineSpec {
+    /// Its zone.
+    pub zone: u16,
+    /// Its server: tier and place.
+    pub server: Option<(u8, u32)>,
+    /// Its proxy: the tier that it calls, and its number among those that do.
+    pub proxy: Option<(u8, u32)>,
+}
+
+/// All that a run is played in.
+pub struct World {
+    /// The scenario.
+    pub scenario: Scenario,
+    /// The seed.
+    pub seed: u64,
+    /// Classes in the scenario's order.
+    pub classes: Vec<Class>,
+    /// First tries a second, over all.
+    pub rate: f64,
+    /// What the fleet can do, requests a second.
+    pub capacity: f64,
+    /// Tiers in the scenario's order.
+    pub tiers: Vec<Tier>,
+    /// Machines; their nodes come after those of the clients.
+    pub machines: Vec<MachineSpec>,
+    /// How many nodes are clients.
+    pub clients: u32,
+    /// First-tier proxies as machines, by zone.
+    pub fronts: Vec<Vec<u32>>,
+    /// What goes wrong when.
+    pub timeline: Timeline,
+    /// Makes a proxy's policy.
+    pub maker: Maker,
+    /// The policy sees the truth.
+    pub sighted: bool,
+    /// Time spent in the policy is measured.
+    pub timed: bool,
+}
+
+impl World {
+    /// Draws what a seed makes of a scenario that was checked.
+    pub fn new(scenario: Scenario, seed: u64, policy: &str, maker: Maker, timed: bool) -> World {
+        let mut rng = Pcg64Mcg::seed_from_u64(mix(seed, 0xA11_0CA7E));
+        let mut world = World {
+            seed,
+            classes: scenario.class.iter().map(class).collect(),
+            rate: scenario.rate(),
+            capacity: scenario.capacity(),
+            tiers: Vec::new(),
+            machines: Vec::new(),
+            clients: 0,
+            fronts: vec![Vec::new(); scenario.zones.len()],
+            timeline: Timeline::default(),
+            maker,
+            sighted: policy == "oracle",
+            timed,
+            scenario,
+        };
+        world.place_fronts();
+        for tier in 0..world.scenario.tier.len() {
+            world.place_tier(tier, &mut rng);
+        }
+        world.timeline = Timeline::draw(&mut world, &mut rng);
+        world
+    }
+
+    fn place_fronts(&mut self) {
+        let zones = self.scenario.zones.len() as u32;
+        let count = self.scenario.tier[0].proxies;
+        self.clients = count;
+        let callers: Vec<u32> = (0..count).collect();
+        for number in 0..count {
+            let zone = (number % zones) as u16;
+            self.fronts[zone as usize].push(number);
+            self.machines.push(MachineSpec { zone, server: None, proxy: Some((0, number)) });
+        }
+        self.tiers = (0..self.scenario.tier.len())
+            .map(|tier| Tier {
+                servers: Vec::new(),
+                callers: if tier == 0 { callers.clone() } else { Vec::new() },
+            })
+            .collect();
+    }
+
+    fn place_tier(&mut self, tier: usize, rng: &mut Pcg64Mcg) {
+        for seat in self.scenario.layout(tier) {
+            let [least, most] = self.scenario.tier[tier].kind[seat.kind].speed;
+            let speed = least + (most - least) * rng.random::<f64>();
+            let like = Like { zone: seat.zone as u16, kind: seat.kind as u16, speed, cell: seat.cell as u64 };
+            self.add_server(tier, like, true);
+        }
+    }
+
+    /// Adds a server and its machine, with a proxy of its own for the next tier if there is one.
+    pub(super) fn add_server(&mut self, tier: usize, like: Like, first: bool) -> u32 {
+        let (machine, slot) = (self.machines.len() as u32, self.tiers[tier].servers.len() as u32);
+        let weight = self.weight(tier, &like);
+        let Like { zone, kind, speed, cell } = like;
+        let name = format!("{}-{slot}", self.scenario.tier[tier].name);
+        let spec = ServerSpec { name, zone, cell, kind, speed, weight, machine, first };
+        self.tiers[tier].servers.push(spec);
+        let next = tier + 1;
+        let proxy = (next < self.tiers.len()).then(|| {
+            self.tiers[next].callers.push(machine);
+            (next as u8, self.tiers[next].callers.len() as u32 - 1)
+        });
+        self.machines.push(MachineSpec { zone, server: Some((tier as u8, slot)), proxy });
+        slot
+    }
+
+    fn weight(&self, tier: usize, like: &Like) -> f64 {
+        let spec = &self.scenario.tier[tier];
+        let kind = &spec.kind[like.kind as usize];
+        match spec.weights {
+            Weights::None => 1.0,
+            Weights::Nominal => f64::from(kind.cores) * (kind.speed[0] + kind.speed[1]) / 2.0,
+            Weights::True => f64::from(kind.cores) * like.speed,
+        }
+    }
+
+    /// What a proxy is told at its start.
+    pub fn settings(&self, tier: u8, number: u32, zone: u16) -> decisions::Settings {
+        let (limits, rules) = (&self.scenario.limits, &self.scenario.rules);
+        let quota = |t: &scenario::Tenant| t.share * self.capacity;
+        let tenant = |t| decisions::Tenant { quota_per_s: quota(t), share: t.share };
+        decisions::Settings {
+            me: number,
+            group_size: self.tiers[tier as usize].callers.len() as u32,
+            tier: u32::from(tier),
+            zone: ZoneId(zone),
+            tick: 1_000_000,
+            classes: self.classes.iter().map(|c| c.told.clone()).collect(),
+            tenants: self.scenario.tenant.iter().map(tenant).collect(),
+            over_share_worth: self.scenario.over_share_worth,
+            worth_by_work: false,
+            passes_deadline: limits.passes_deadline,
+            discovery: match self.scenario.discovery.mode {
+                DiscoveryMode::Push => decisions::Discovery::Automatic,
+                DiscoveryMode::Watch => decisions::Discovery::Subscribe,
+            },
+            limits: decisions::Limits {
+                max_attempts: limits.max_attempts,
+                second_copies: false,
+                cancel: limits.cancel,
+                probes: limits.probes,
+                max_retry_after: limits.max_retry_after.nanos(),
+                connect_timeout: limits.connect_timeout.nanos(),
+            },
+            rules: decisions::Rules {
+                cold_share: rules.cold_share,
+                cold: rules.cold_time.nanos(),
+                fall_multiple: rules.fall_multiple,
+                fall: rules.fall_window.nanos(),
+                drain_grace: rules.drain_grace.nanos(),
+                must_ask_in: rules.must_ask_in.nanos(),
+            },
+            prices: decisions::Prices::default(),
+        }
+    }
+
+    /// A line of the list as the decisions read it.
+    pub fn entry(&self, tier: u8, line: super::message::Line, name: Rc<str>) -> decisions::Entry {
+        let spec = &self.tiers[tier as usize].servers[line.slot as usize];
+        decisions::Entry {
+            id: decisions::EndpointId(line.slot),
+            name,
+            state: line.state,
+            zone: ZoneId(spec.zone),
+            kind: KindId(spec.kind),
+            cell: CellId(spec.cell),
+            size: spec.weight,
+            started: (line.started > 0).then_some(line.started),
+        }
+    }
+
+    /// The kind of a server.
+    pub fn kind(&self, tier: u8, slot: u32) -> &scenario::Kind {
+        let kind = self.tiers[tier as usize].servers[slot as usize].kind;
+        &self.scenario.tier[tier as usize].kind[kind as usize]
+    }
+
+    /// The node of a machine.
+    pub fn machine_node(&self, machine: u32) -> u32 {
+        self.clients + machine
+    }
+
+    /// The node of a server.
+    pub fn server_node(&self, tier: u8, slot: u32) -> u32 {
+        self.machine_node(self.tiers[tier as usize].servers[slot as usize].machine)
+    }
+
+    /// The node of discovery.
+    pub fn discovery_node(&self) -> u32 {
+        self.clients + self.machines.len() as u32
+    }
+
+    /// The zone of a node; discovery lives in the first.
+    pub fn zone_of(&self, node: u32) -> u16 {
+        if node < self.clients {
+            return (node as usize % self.scenario.zones.len()) as u16;
+        }
+        self.machines.get((node - self.clients) as usize).map_or(0, |m| m.zone)
+    }
+
+    /// A name for a proxy that an operator would know it by.
+    pub fn proxy_name(&self, machine: u32) -> String {
+        match self.machines[machine as usize].server {
+            Some((tier, slot)) => {
+                format!("{}'s proxy", self.tiers[tier as usize].servers[slot as usize].name)
+            }
+            None => format!("proxy-{machine}"),
+        }
+    }
+
+    /// When the last client has had its answer for sure.
+    pub fn ends(&self) -> Nanos {
+        let longest = self.scenario.class.iter().map(|c| c.deadline.nanos()).max().unwrap_or(0);
+        self.scenario.length.nanos() + longest + 1_000_000_000
+    }
+}
+
+/// What a server is like.
+#[derive(Clone, Copy)]
+pub(super) struct Like {
+    pub zone: u16,
+    pub kind: u16,
+    pub speed: f64,
+    pub cell: u64,
+}
+
+fn class(class: &scenario::Class) -> Class {
+    let group = match class.group {
+        scenario::Group::All => decisions::Group::All,
+        scenario::Group::Zone => decisions::Group::Zone,
+        scenario::Group::Cell => decisions::Group::Cell,
+    };
+    let effect = match class.effect {
+        scenario::Effect::Repeatable => decisions::Effect::Repeatable,
+        scenario::Effect::ByKey => {
+            decisions::Effect::ByKey { group, window: class.window.unwrap_or_default().nanos() }
+        }
+        scenario::Effect::Once => decisions::Effect::Once,
+    };
+    Class {
+        told: decisions::Class {
+            aim: class.aim.nanos(),
+            give_up: class.deadline.nanos(),
+            effect,
+            worth: class.worth,
+            late_worth: class.late_worth,
+            stream: false,
+        },
+        worth: (class.worth * WORTH).round() as u64,
+        late_worth: (class.worth * class.late_worth * WORTH).round() as u64,
+        work: Sampler::new(&class.work),
+    }
+}
+
+/// Two numbers into one that looks like neither (SplitMix64's finalizer, Steele et al. 2014).
+pub fn mix(a: u64, b: u64) -> u64 {
+    let mut z = a ^ b.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    z ^ (z >> 31)
+}
--- a/crates/lab/src/scenario/types.rs
+++ b/crates/lab/src/scenario/types.rs
@@ -44,6 +44,10 @@
     /// Tenants; may be none.
     #[serde(default)]
     pub tenant: Vec<Tenant>,
+    /// Worth left to a request beyond its tenant's share; 0 to 1.
+    #[serde(default = "one")]
+    #[schemars(range(min = 0, max = 1))]
+    pub over_share_worth: f64,
     /// Who calls.
     pub clients: Clients,
     /// Tiers, the one that clients call first.
@@ -276,6 +280,10 @@
     #[serde(default)]
     #[schemars(range(min = 0, max = 1))]
     pub honours_retry_after: f64,
+    /// Share of the tries whose client closes its connection before its time is up; 0 to 1.
+    #[serde(default)]
+    #[schemars(range(min = 0, max = 1))]
+    pub impatient: f64,
     /// Clients mark their later tries.
     #[serde(default)]
     pub marks_retry: bool,
