--- a/crates/lab/src/policy/mod.rs
+++ b/crates/lab/src/policy/mod.rs
@@ -1,12 +1,13 @@
 //! Policies by name: the project's own decisions, textbook ones to compare with, and broken ones that the
 //! monitors have to catch. All are driven through the interface of the decisions.
 
+mod broken;
 pub mod chassis;
 mod named;
 pub mod pick;
 pub mod pool;
 
-pub use named::{Maker, NAMES, UnknownPolicy, named};
+pub use named::{BROKEN, Maker, NAMES, UnknownPolicy, named};
 
 use olivecart_decisions::{Action, Balancer, EndpointId, Event, Nanos, Settings};
 use std::rc::Rc;
--- a/crates/lab/src/policy/named.rs
+++ b/crates/lab/src/policy/named.rs
@@ -1,5 +1,6 @@
 //! Policies by name.
 
+use super::broken::{Broken, Bug};
 use super::chassis::Textbook;
 use super::pick::{LeastOutstanding, Oracle, Pick, PowerOfTwo, Random, RingHash, RoundRobin};
 use super::{Place, Policy};
@@ -13,6 +14,17 @@
 pub const NAMES: &[&str] =
     &["olivecart", "random", "round_robin", "least_outstanding", "power_of_two", "ring_hash", "oracle"];
 
+/// The decisions with a bug, for the monitors to catch. Accepted by [`named`], but no policies to compare with.
+pub const BROKEN: &[&str] = &[
+    "broken_sends_twice",
+    "broken_sends_to_draining",
+    "broken_answers_twice",
+    "broken_loses_one",
+    "broken_answers_late",
+    "broken_floods_cold",
+    "broken_resends_keyed",
+];
+
 /// No policy has that name.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 #[error("there is no policy {name:?}; known are, nearest first: {}", known.join(", "))]
@@ -26,9 +38,9 @@
 /// The policy of a name.
 ///
 /// # Errors
-/// The name is not among [`NAMES`].
+/// The name is neither among [`NAMES`] nor among [`BROKEN`].
 pub fn named(name: &str) -> Result<Maker, UnknownPolicy> {
-    ordinary(name).ok_or_else(|| {
+    ordinary(name).or_else(|| broken(name)).ok_or_else(|| {
         let mut known = NAMES.to_vec();
         known.sort_by_key(|other| distance(name, other));
         UnknownPolicy { name: name.to_owned(), known }
@@ -51,6 +63,19 @@
     })
 }
 
+fn broken(name: &str) -> Option<Maker> {
+    Some(match name {
+        "broken_sends_twice" => |place| Broken::boxed(Bug::SendsTwice, place),
+        "broken_sends_to_draining" => |place| Broken::boxed(Bug::SendsToDraining, place),
+        "broken_answers_twice" => |place| Broken::boxed(Bug::AnswersTwice, place),
+        "broken_loses_one" => |place| Broken::boxed(Bug::LosesOne, place),
+        "broken_answers_late" => |place| Broken::boxed(Bug::AnswersLate, place),
+        "broken_floods_cold" => |place| Broken::boxed(Bug::FloodsCold, place),
+        "broken_resends_keyed" => |place| Broken::boxed(Bug::ResendsKeyed, place),
+        _ => return None,
+    })
+}
+
 fn textbook<P: Pick + Default + 'static>(place: Place) -> Box<dyn Policy> {
     Box::new(Textbook::new(place, P::default()))
 }
--- a/crates/lab/src/policy/pick/oracle.rs
+++ b/crates/lab/src/policy/pick/oracle.rs
@@ -35,8 +35,9 @@
     }
 
     fn forget_what_is_seen(&mut self, now: Nanos) {
-        while let Some((_, id, work)) = self.under_way.pop_front_if(|(until, ..)| *until <= now) {
-            let left = self.unseen.get(&id).map_or(0, |sum| sum - work);
+        while let Some((_, id, work)) = self.under_way.front().copied().filter(|(until, ..)| *until <= now) {
+            self.under_way.pop_front();
+            let left = self.unseen.get(&id).map_or(0, |sum| sum.saturating_sub(work));
             if left == 0 {
                 self.unseen.remove(&id)
             } else {
--- a/crates/lab/tests/policies/chassis.rs
+++ b/crates/lab/tests/policies/chassis.rs
@@ -123,7 +123,7 @@
 
 #[test]
 fn a_wrong_name_is_told_the_nearest_ones() {
-    let error = policy::named("power_of_tow").err().expect("unknown");
+    let error = policy::named("power_of_tow").expect_err("unknown");
     assert_eq!((error.known[0], error.known.len()), ("power_of_two", policy::NAMES.len()));
     assert!(error.to_string().contains("\"power_of_tow\""));
 }
--- a/crates/lab/tests/policies/checker.rs
+++ b/crates/lab/tests/policies/checker.rs
@@ -66,8 +66,6 @@
 
 /// Never an answer.
 pub const SILENCE: Fate = |_| (Nanos::MAX, Outcome::Timeout);
-/// Served in exactly the time of its work.
-pub const SERVED: Fate = |_| (WORK, Outcome::Ok);
 /// Mostly served; now and then each kind of failure.
 pub const MIXED: Fate = |chance| {
     use Outcome::*;
