--- a/crates/lab/src/model/server.rs
+++ b/crates/lab/src/model/server.rs
@@ -248,26 +248,31 @@
                 Answer { request: id.request, number: id.number, outcome, kept, work: 0, load: None };
             effects.push(Effect::Answer(id.proxy, answer));
         };
-        let fresh = attempt.kept != Some(self.life);
-        let cap = kind.connections.cap;
-        if self.state == State::Down || fresh && cap > 0 && self.connections >= cap {
+        if self.state == State::Down {
             self.counts.turned_away += 1;
             return turned_away(Outcome::ConnectFailed, None, effects);
         }
         self.settle(world, now);
-        if fresh {
-            self.connections += 1;
-            self.counts.handshakes += 1;
-            self.counts.peak_connections = self.counts.peak_connections.max(self.connections.into());
-            self.overhead += kind.connections.handshake_work.nanos();
-        }
         let work = self.own_work(world, &attempt);
+        // What it turns away presses on it too.
         if self.bears_too_much(world, now, work, &attempt) {
             self.counts.turned_away += 1;
             self.counts.fell_over = true;
             self.die(world, now, false, effects);
             return turned_away(Outcome::Reset, None, effects);
         }
+        let fresh = attempt.kept != Some(self.life);
+        let cap = kind.connections.cap;
+        if fresh && cap > 0 && self.connections >= cap {
+            self.counts.turned_away += 1;
+            return turned_away(Outcome::ConnectFailed, None, effects);
+        }
+        if fresh {
+            self.connections += 1;
+            self.counts.handshakes += 1;
+            self.counts.peak_connections = self.counts.peak_connections.max(self.connections.into());
+            self.overhead += kind.connections.handshake_work.nanos();
+        }
         let kept = Some(self.life);
         if self.state == State::Draining
             || self.waiting.len() >= kind.queue as usize && self.slots_used >= kind.slots
