--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,5 +2,6 @@
 //! sockets, and experiments that compare.
 
 pub mod policy;
+pub mod results;
 pub mod run;
 pub mod scenario;
