Report runs on one self-contained page: plots over time, by class, by server, who was held

Need: a figure alone does not say why a run went as it did; a page that can be sent and opened anywhere does.

Change: a page from one result or several: name, digests, revision, what is not to be trusted, broken rules with their events, bounds; goodput and refusals, latency and attempts over time with faults shaded and named; latency by class; utilization against capacity and in order; who was held back when; two runs also over each other. Plots are drawn by plotters in the light colours, and the page's style maps each to its dark counterpart. Long runs and large fleets are put together or thinned, and the page says so.

--- a/crates/lab/src/experiment/mod.rs
+++ b/crates/lab/src/experiment/mod.rs
@@ -13,7 +13,7 @@
 pub mod select;
 pub mod sweep;
 pub mod winners;
-mod words;
+pub mod words;
 
 pub use compare::{Comparison, compare};
 pub use sweep::{Options, Summary, SweepError, sweep};
--- a/crates/lab/src/experiment/words.rs
+++ b/crates/lab/src/experiment/words.rs
@@ -9,7 +9,7 @@
 }
 
 /// A scenario and its cell.
-pub(super) fn place_words(scenario: &str, cell: &Cell) -> String {
+pub fn place_words(scenario: &str, cell: &Cell) -> String {
     match cell.is_empty() {
         true => scenario.to_owned(),
         false => format!("{scenario} ({})", cell_words(cell)),
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod experiment;
 pub mod policy;
+pub mod report;
 pub mod results;
 pub mod run;
 pub mod scenario;
