--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,7 +1,9 @@
 //! The lab: a model of the fleet in virtual time that drives the real decisions, the same scenarios on
 //! sockets, and experiments that compare.
 
+pub mod engine;
 pub mod experiment;
+pub mod model;
 pub mod policy;
 pub mod report;
 pub mod results;
