Play experiments with the model, and plans for policies, load and attempts

Need: the experiments had a seam of their own for reading scenarios; reading and checking them exists by now, and so does the model.

Change: scenarios are read by the lab's own checks in every cell of the grid; what plays a run is the trait Player, and Model plays it in virtual time. A plan can be checked alone. Three plans: which policy wins which scenario, how much load each bears, what further attempts are worth. A figure that rounds up to a power of ten keeps four digits; a report of one tier draws one line of attempts.

--- a/crates/lab/src/experiment/folder.rs
+++ b/crates/lab/src/experiment/folder.rs
@@ -39,7 +39,8 @@
         let mut all = Xxh3::new();
         let mut each: BTreeMap<String, BTreeSet<String>> = BTreeMap::new();
         for job in jobs {
-            let scenario = format!("{} {}\n", job.digest, serde_json::Value::from_iter((*job.cell).clone()));
+            let scenario =
+                format!("{} {}\n", job.scenario.digest(), serde_json::Value::from_iter((*job.cell).clone()));
             all.update(format!("{} {} {scenario}", job.policy, job.seed).as_bytes());
             each.entry(job.scenario.name.clone()).or_default().insert(scenario);
         }
--- a/crates/lab/src/experiment/grid.rs
+++ b/crates/lab/src/experiment/grid.rs
@@ -1,9 +1,9 @@
 //! A plan's runs: every scenario in every cell, read and checked before the first run begins.
 
-use super::Engine;
 use super::plan::{At, Axis, Findings, MOST_RUNS, Plan, PlanError};
+use super::player::Player;
 use crate::results::{Cell, RunId, cell_words};
-use crate::scenario::Scenario;
+use crate::scenario::{Checked, Scenario};
 use std::collections::BTreeMap;
 use std::path::Path;
 use std::sync::Arc;
@@ -13,30 +13,28 @@
 #[derive(Clone)]
 pub(super) struct Job {
     pub cell: Arc<Cell>,
-    pub scenario: Arc<Scenario>,
-    pub digest: Arc<str>,
+    pub scenario: Arc<Checked>,
     pub policy: Arc<str>,
     pub seed: u64,
 }
 
 impl Job {
     pub fn id(&self) -> RunId {
-        (self.digest.to_string(), self.policy.to_string(), self.seed)
+        (self.scenario.digest().to_owned(), self.policy.to_string(), self.seed)
     }
 }
 
 /// A scenario in one cell.
 struct Made {
     cell: Arc<Cell>,
-    scenario: Arc<Scenario>,
-    digest: Arc<str>,
+    scenario: Arc<Checked>,
 }
 
 /// All runs of a plan. Seeds vary slowest: a sweep that was cut short has whole cells to compare.
-pub(super) fn jobs(plan: &Plan, engine: &dyn Engine) -> Result<Vec<Job>, PlanError> {
+pub(super) fn jobs(plan: &Plan, player: &dyn Player) -> Result<Vec<Job>, PlanError> {
     let mut findings = Findings::new(&plan.file, &plan.text);
     for policy in &plan.policies {
-        if let Err(error) = engine.check_policy(&policy.value) {
+        if let Err(error) = player.check_policy(&policy.value) {
             findings.add(policy.line, "policies", error);
         }
     }
@@ -52,24 +50,24 @@
         );
         return Err(findings.into_error());
     }
-    let made = scenarios(plan, engine, &mut findings)?;
+    let made = scenarios(plan, &mut findings);
     if findings.any() {
         return Err(findings.into_error());
     }
     let policies: Vec<Arc<str>> = plan.policies.iter().map(|policy| policy.value.as_str().into()).collect();
     let mut jobs = Vec::new();
     for &seed in &plan.seeds {
-        for Made { cell, scenario, digest } in &made {
+        for Made { cell, scenario } in &made {
             for policy in &policies {
-                let (cell, scenario) = (cell.clone(), scenario.clone());
-                jobs.push(Job { cell, scenario, digest: digest.clone(), policy: policy.clone(), seed });
+                let (cell, scenario, policy) = (cell.clone(), scenario.clone(), policy.clone());
+                jobs.push(Job { cell, scenario, policy, seed });
             }
         }
     }
     Ok(jobs)
 }
 
-fn scenarios(plan: &Plan, engine: &dyn Engine, findings: &mut Findings) -> Result<Vec<Made>, PlanError> {
+fn scenarios(plan: &Plan, findings: &mut Findings) -> Vec<Made> {
     let mut made = Vec::new();
     let mut names: BTreeMap<String, &Path> = BTreeMap::new();
     for At { value: file, line } in &plan.scenarios {
@@ -81,10 +79,10 @@
             }
         };
         // Once as it stands: what is wrong with the file itself is not the grid's fault.
-        let scenario = match engine.read(file, &text) {
+        let scenario = match Scenario::parse(&file.display().to_string(), &text) {
             Ok(scenario) => scenario,
             Err(error) => {
-                findings.add(*line, "scenarios", error);
+                findings.add(*line, "scenarios", error.to_string().trim_end());
                 continue;
             }
         };
@@ -93,14 +91,14 @@
             findings.add(*line, "scenarios", format!("{file} and {other} both have the name {name:?}"));
         }
         for choice in cells(&plan.grid) {
-            match in_cell(file, &text, &plan.grid, &choice, engine) {
+            match in_cell(file, &text, &plan.grid, &choice) {
                 Ok(one) => made.push((file.as_path(), one)),
                 Err((line, key, what)) => findings.add(line, key, what),
             }
         }
     }
     same_twice(plan, &made, findings);
-    Ok(made.into_iter().map(|(_, made)| made).collect())
+    made.into_iter().map(|(_, made)| made).collect()
 }
 
 /// Every cell of a grid, as the place of its value on each axis. The last axis varies fastest; a grid without
@@ -119,13 +117,7 @@
 type Complaint = (usize, String, String);
 
 /// A scenario with a cell's values in place of its own.
-fn in_cell(
-    file: &Path,
-    text: &str,
-    grid: &[Axis],
-    choice: &[usize],
-    engine: &dyn Engine,
-) -> Result<Made, Complaint> {
+fn in_cell(file: &Path, text: &str, grid: &[Axis], choice: &[usize]) -> Result<Made, Complaint> {
     let mut cell = Cell::new();
     let mut changed = text.to_owned();
     if !grid.is_empty() {
@@ -143,15 +135,16 @@
         }
         changed = tree.to_string();
     }
-    match engine.read(file, &changed) {
-        Ok(scenario) => {
-            let digest = engine.digest(&scenario).into();
-            Ok(Made { cell: Arc::new(cell), scenario: Arc::new(scenario), digest })
-        }
+    match Scenario::parse(&file.display().to_string(), &changed) {
+        Ok(scenario) => Ok(Made { cell: Arc::new(cell), scenario: Arc::new(scenario) }),
         Err(error) => {
             // Of several keys at fault one line is as good as another; the values are in the words.
             let line = grid.first().map_or(1, |axis| axis.line);
-            Err((line, "grid".into(), format!("with {}: {error}", cell_words(&cell))))
+            Err((
+                line,
+                "grid".into(),
+                format!("with {}: {}", cell_words(&cell), error.to_string().trim_end()),
+            ))
         }
     }
 }
@@ -161,7 +154,7 @@
 fn same_twice(plan: &Plan, made: &[(&Path, Made)], findings: &mut Findings) {
     let mut seen: BTreeMap<&str, &(&Path, Made)> = BTreeMap::new();
     for one in made {
-        if let Some(other) = seen.insert(&one.1.digest, one) {
+        if let Some(other) = seen.insert(one.1.scenario.digest(), one) {
             let words = |(file, made): &(&Path, Made)| match made.cell.is_empty() {
                 true => file.display().to_string(),
                 false => format!("{} with {}", file.display(), cell_words(&made.cell)),
--- a/crates/lab/src/experiment/sweep.rs
+++ b/crates/lab/src/experiment/sweep.rs
@@ -3,10 +3,10 @@
 //! A sweep that died goes on where it was: what the file has is not played again. A run that cannot be played
 //! is a line too, and does not stop the others.
 
-use super::Engine;
 use super::folder::{self, Manifest, RESULTS};
 use super::grid::{Job, jobs};
 use super::plan::{self, PlanError};
+use super::player::Player;
 use super::words::{first_some, run_words};
 use crate::results::{
     Appender, Encoded, Entry, Failed, NotStorable, Outcome, Reader, ResultsError, RunId, Torn,
@@ -125,15 +125,23 @@
     }
 }
 
+/// Reads and checks a plan with its scenarios, in every cell of its grid; how many runs it makes.
+///
+/// # Errors
+/// Everything that is wrong with it.
+pub fn check(plan: &Path, player: &dyn Player) -> Result<usize, PlanError> {
+    Ok(jobs(&plan::read(plan)?, player)?.len())
+}
+
 /// Plays a plan into a folder, or goes on with one that was begun.
 ///
 /// # Errors
 /// The plan is wrong, the folder belongs to another plan or build, or the results cannot be written. Runs
 /// that fail are no error here, but make the [`Summary`] incomplete.
-pub fn sweep(plan: &Path, out: &Path, options: &Options, engine: &dyn Engine) -> Result<Summary, SweepError> {
+pub fn sweep(plan: &Path, out: &Path, options: &Options, player: &dyn Player) -> Result<Summary, SweepError> {
     let plan = plan::read(plan)?;
-    let jobs = jobs(&plan, engine)?;
-    let manifest = Manifest::new(&plan, &jobs, engine.revision());
+    let jobs = jobs(&plan, player)?;
+    let manifest = Manifest::new(&plan, &jobs, player.revision());
     folder::open(out, &plan, &manifest)?;
     let results = out.join(RESULTS);
     let (mut appender, torn) = Appender::open(&results)?;
@@ -142,7 +150,7 @@
     summary.results = results;
     summary.kept = done.len();
     let open: Vec<&Job> = jobs.iter().filter(|job| !done.contains_key(&job.id())).collect();
-    play(&open, options, engine, |entry, line| {
+    play(&open, options, player, |entry, line| {
         appender.append(&line?)?;
         summary.played += 1;
         summary.count(entry);
@@ -187,7 +195,7 @@
 fn play(
     jobs: &[&Job],
     options: &Options,
-    engine: &dyn Engine,
+    player: &dyn Player,
     mut store: impl FnMut(&Entry, Line) -> Result<(), ResultsError>,
 ) -> Result<(), ResultsError> {
     let cores = options.jobs.or_else(|| thread::available_parallelism().ok()).map_or(1, NonZero::get);
@@ -198,7 +206,7 @@
     let stored = thread::scope(|scope| {
         for _ in 0..threads {
             let (to, next, stop) = (to.clone(), &next, &stop);
-            scope.spawn(move || work(jobs, next, stop, engine, &to));
+            scope.spawn(move || work(jobs, next, stop, player, &to));
         }
         drop(to);
         let stored = from.iter().try_for_each(|(entry, line): (Entry, Line)| {
@@ -219,37 +227,34 @@
     jobs: &[&Job],
     next: &AtomicUsize,
     stop: &AtomicBool,
-    engine: &dyn Engine,
+    player: &dyn Player,
     to: &SyncSender<(Entry, Line)>,
 ) {
     while !stop.load(Ordering::Relaxed)
         && let Some(job) = jobs.get(next.fetch_add(1, Ordering::Relaxed))
-        && to.send(play_one(job, engine)).is_ok()
+        && to.send(play_one(job, player)).is_ok()
     {}
 }
 
-fn play_one(job: &Job, engine: &dyn Engine) -> (Entry, Line) {
+fn play_one(job: &Job, player: &dyn Player) -> (Entry, Line) {
     let entry = |outcome| Entry { cell: (*job.cell).clone(), outcome };
-    let played = catch_unwind(AssertUnwindSafe(|| engine.run(&job.scenario, &job.policy, job.seed, 1)));
+    let played = catch_unwind(AssertUnwindSafe(|| player.run(&job.scenario, &job.policy, job.seed)));
     let played = played.unwrap_or_else(|panic| Err(format!("the run panicked: {}", panic_words(&*panic))));
-    let error = match played {
-        Ok(run)
-            if (&*run.scenario_digest, &*run.policy, run.seed) != (&job.digest, &job.policy, job.seed) =>
-        {
-            "the result is another run's: scenario digest, policy or seed differ".to_owned()
-        }
-        Ok(run) => {
-            let entry = entry(Outcome::Played(Box::new(run)));
-            match Encoded::entry(&entry) {
-                Ok(line) => return (entry, Ok(line)),
-                Err(error) => error.to_string(),
-            }
+    let stored = played.and_then(|run| {
+        let entry = entry(Outcome::Played(Box::new(run)));
+        if entry.id() != job.id() {
+            return Err("the result is another run's: scenario digest, policy or seed differ".to_owned());
         }
+        let line = Encoded::entry(&entry).map_err(|error| error.to_string())?;
+        Ok((entry, line))
+    });
+    let error = match stored {
+        Ok((entry, line)) => return (entry, Ok(line)),
         Err(error) => error,
     };
     let failed = entry(Outcome::Failed(Failed {
         scenario: job.scenario.name.clone(),
-        scenario_digest: job.digest.to_string(),
+        scenario_digest: job.scenario.digest().to_owned(),
         policy: job.policy.to_string(),
         seed: job.seed,
         error,
--- a/crates/lab/src/experiment/words.rs
+++ b/crates/lab/src/experiment/words.rs
@@ -41,7 +41,8 @@
     if size == 0.0 || !size.is_finite() {
         return format!("{value}");
     }
-    let decimals = (3 - size.log10().floor() as i32).clamp(0, 7) as usize;
+    // 0.99999 is rounded up, and then has a digit more before the point.
+    let decimals = (3 - (size * 1.00005).log10().floor() as i32).clamp(0, 7) as usize;
     format!("{value:.decimals$}")
 }
 
@@ -53,6 +54,7 @@
     fn figures_keep_four_digits() {
         for (value, text) in [
             (0.0, "0"),
+            (0.99999, "1.000"),
             (0.91234, "0.9123"),
             (-12.3456, "-12.35"),
             (123456.7, "123457"),
--- a/crates/lab/src/report/run.rs
+++ b/crates/lab/src/report/run.rs
@@ -174,10 +174,12 @@
         make("50th percentile", SERIES[0], |bucket| Some(bucket.p50).filter(|&ms| ms > 0.0)),
         make("99th percentile", SERIES[1], P99),
     ];
-    let attempts = [
+    let mut attempts = vec![
         make("first tier", SERIES[0], ATTEMPTS),
         make("all tiers", SERIES[2], |bucket| bucket.share(bucket.attempts_all)),
     ];
+    // Of a single tier, the second line would only hide the first.
+    attempts.dedup_by(|all, first| all.points == first.points);
     let count = seconds.len();
     let draw =
         |title, about, lines: &[Line], y: &Axis| time_figure(title, about, lines, y, count, &run.faults);
--- a/crates/lab/tests/experiment.rs
+++ b/crates/lab/tests/experiment.rs
@@ -1,4 +1,4 @@
-//! Sweeps, comparisons and files of results, with an engine that plays nothing.
+//! Sweeps, comparisons and files of results, with a player that plays nothing.
 
 #[path = "experiment/fake.rs"]
 mod fake;
@@ -6,7 +6,7 @@
 use fake::{CALM, Fake, result};
 use olivecart_lab::experiment::compare::{Comparison, Verdict};
 use olivecart_lab::experiment::winners::{Rules, Winner};
-use olivecart_lab::experiment::{Options, Summary, SweepError, compare, sweep, winners};
+use olivecart_lab::experiment::{Model, Options, Summary, SweepError, check, compare, sweep, winners};
 use olivecart_lab::results::{Appender, Encoded, Entry, Outcome, Reader, ResultsError};
 use std::fs;
 use std::path::{Path, PathBuf};
@@ -43,9 +43,9 @@
         fs::write(self.path(name), text).expect("written");
     }
 
-    fn sweep(&self, plan: &str, out: &str, engine: &Fake) -> Result<Summary, SweepError> {
+    fn sweep(&self, plan: &str, out: &str, player: &Fake) -> Result<Summary, SweepError> {
         self.write("plan.toml", plan);
-        sweep(&self.path("plan.toml"), &self.path(out), &Options::default(), engine)
+        sweep(&self.path("plan.toml"), &self.path(out), &Options::default(), player)
     }
 
     fn results(&self, name: &str, results: &[olivecart_lab::run::result::RunResult]) -> String {
@@ -71,8 +71,8 @@
 
 #[test]
 fn a_sweep_plays_every_policy_in_every_cell_with_the_same_seeds() {
-    let (place, engine) = (Place::new(), Fake::default());
-    let summary = place.sweep(PLAN, "out", &engine).expect("swept");
+    let (place, player) = (Place::new(), Fake::default());
+    let summary = place.sweep(PLAN, "out", &player).expect("swept");
     assert!(summary.complete());
     assert_eq!((summary.runs, summary.played, summary.kept), (24, 24, 0));
     let entries = entries(&place.path("out/results.jsonl"));
@@ -91,7 +91,7 @@
     assert_eq!(found[0].0, r#"{"clients.load":0.5,"limits.max_attempts":1}"#);
     assert_eq!(fs::read_to_string(place.path("out/plan.toml")).expect("the plan"), PLAN);
     // The values reach the scenario that is played.
-    let played = engine.played.lock().expect("unpoisoned");
+    let played = player.played.lock().expect("unpoisoned");
     assert_eq!(played.iter().filter(|(load, ..)| load == "0.8").count(), 12);
 }
 
@@ -105,14 +105,14 @@
         let out = format!("cut{cut}");
         place.sweep(PLAN, &out, &Fake::default()).expect("swept");
         fs::write(place.path(&out).join("results.jsonl"), &bytes[..cut]).expect("cut");
-        let engine = Fake::default();
-        let summary = place.sweep(PLAN, &out, &engine).expect("gone on");
+        let player = Fake::default();
+        let summary = place.sweep(PLAN, &out, &player).expect("gone on");
         assert_eq!(sorted(&place.path(&out).join("results.jsonl")), whole, "cut at {cut}");
         let kept = bytes[..cut].iter().filter(|&&byte| byte == b'\n').count();
         // The last cut takes nothing but the end of the line: the run is all there.
         let kept = if cut == bytes.len() - 1 { 24 } else { kept };
         assert_eq!((summary.kept, summary.played), (kept, 24 - kept), "cut at {cut}");
-        assert_eq!(engine.played.lock().expect("unpoisoned").len(), 24 - kept, "cut at {cut}");
+        assert_eq!(player.played.lock().expect("unpoisoned").len(), 24 - kept, "cut at {cut}");
         assert_eq!(summary.torn.is_some(), kept < 24 && cut > 0 && bytes[cut - 1] != b'\n');
     }
 }
@@ -131,18 +131,18 @@
     assert!(summary.to_string().contains("20 could not be played"));
     assert_eq!(entries(&place.path("out/results.jsonl")).len(), 24);
     // Failures are kept, and not played again unless asked for.
-    let engine = Fake::default();
-    let again = place.sweep(&plan, "out", &engine).expect("swept");
+    let player = Fake::default();
+    let again = place.sweep(&plan, "out", &player).expect("swept");
     assert_eq!((again.played, again.kept, again.failed.len()), (0, 24, 20));
     let options = Options { retry_failed: true, ..Options::default() };
-    let again = sweep(&place.path("plan.toml"), &place.path("out"), &options, &engine).expect("swept");
+    let again = sweep(&place.path("plan.toml"), &place.path("out"), &options, &player).expect("swept");
     assert_eq!((again.played, again.kept, again.failed.len()), (20, 4, 20));
 }
 
 fn refused(place: &Place, plan: &str, out: &str, revision: &str) -> String {
-    let engine = Fake { revision: revision.into(), ..Fake::default() };
-    let error = place.sweep(plan, out, &engine).expect_err("refused").to_string();
-    assert!(engine.played.lock().expect("unpoisoned").is_empty(), "played all the same");
+    let player = Fake { revision: revision.into(), ..Fake::default() };
+    let error = place.sweep(plan, out, &player).expect_err("refused").to_string();
+    assert!(player.played.lock().expect("unpoisoned").is_empty(), "played all the same");
     error
 }
 
@@ -211,6 +211,15 @@
     }
 }
 
+#[test]
+fn the_plans_of_the_repository_can_be_played() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios/plans");
+    let plans = fs::read_dir(folder).expect("plans").map(|plan| plan.expect("a plan").path());
+    let runs: Vec<usize> =
+        plans.map(|plan| check(&plan, &Model).unwrap_or_else(|error| panic!("{error}"))).collect();
+    assert!(runs.len() >= 3 && runs.iter().all(|&runs| runs > 1), "{runs:?}");
+}
+
 #[test]
 fn results_of_another_version_are_refused_by_name() {
     let place = Place::new();
@@ -297,7 +306,7 @@
     assert_eq!(verdict(&planted, "p99 of read, ms"), Verdict::Same);
     let row = &planted.rows[0];
     let interval = row.interval.expect("enough seeds");
-    // 0.02 and half of 0.01, as the engine has it.
+    // 0.02 and half of 0.01, as the player has it.
     assert!(interval.holds(0.025) && interval.high - interval.low < 0.004, "{row:?}");
     assert!(row.sentence().contains("goodput: B is higher by 0.02"), "{}", row.sentence());
     assert!(row.sentence().ends_with("40 pairs): more than chance, and better."), "{}", row.sentence());
--- a/crates/lab/tests/experiment/fake.rs
+++ b/crates/lab/tests/experiment/fake.rs
@@ -1,9 +1,8 @@
-//! An engine whose figures follow from the scenario, the policy and the seed by a plain rule.
+//! A player whose figures follow from the scenario, the policy and the seed by a plain rule.
 
-use olivecart_lab::experiment::Engine;
+use olivecart_lab::experiment::Player;
 use olivecart_lab::run::result::{Group, Latency, RunResult, SCHEMA, Server, Totals};
-use olivecart_lab::scenario::Scenario;
-use std::path::Path;
+use olivecart_lab::scenario::Checked;
 use std::sync::Mutex;
 
 /// A scenario that needs nothing but its name.
@@ -38,11 +37,6 @@
     pub played: Mutex<Vec<(String, String, u64)>>,
 }
 
-pub fn digest(scenario: &Scenario) -> String {
-    let text = serde_json::to_string(scenario).expect("a scenario is JSON");
-    format!("{:016x}", xxhash_rust::xxh3::xxh3_64(text.as_bytes()))
-}
-
 /// A figure between 0 and 1 that follows from the seed, and looks like chance.
 pub fn chance(seed: u64, salt: u64) -> f64 {
     xxhash_rust::xxh3::xxh3_64_with_seed(&seed.to_le_bytes(), salt) as f64 / u64::MAX as f64
@@ -72,15 +66,7 @@
     }
 }
 
-impl Engine for Fake {
-    fn read(&self, file: &Path, text: &str) -> Result<Scenario, String> {
-        toml::from_str(text).map_err(|error| format!("{}: {}", file.display(), error.message()))
-    }
-
-    fn digest(&self, scenario: &Scenario) -> String {
-        digest(scenario)
-    }
-
+impl Player for Fake {
     fn revision(&self) -> String {
         self.revision.clone()
     }
@@ -92,8 +78,7 @@
         }
     }
 
-    fn run(&self, scenario: &Scenario, policy: &str, seed: u64, threads: usize) -> Result<RunResult, String> {
-        assert_eq!(threads, 1, "one run, one thread");
+    fn run(&self, scenario: &Checked, policy: &str, seed: u64) -> Result<RunResult, String> {
         let load = scenario.clients.load.unwrap_or_default();
         self.played.lock().expect("no run panics here").push((load.to_string(), policy.into(), seed));
         assert_ne!(policy, "panics", "as it should");
@@ -107,6 +92,6 @@
             "nan" => f64::NAN,
             _ => shared,
         };
-        Ok(result(&scenario.name, &digest(scenario), policy, seed, goodput))
+        Ok(result(&scenario.name, scenario.digest(), policy, seed, goodput))
     }
 }
