--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,7 +2,10 @@
 //! sockets, and experiments that compare.
 
 pub mod engine;
+pub mod experiment;
 pub mod model;
 pub mod policy;
+pub mod report;
+pub mod results;
 pub mod run;
 pub mod scenario;
