Textbook policies: a stray end of an attempt is no harm; tests of deadlines and cells

An outcome for an attempt that the policy never made took an endpoint out of the wrong bucket of least outstanding. Ends without an attempt are now ignored. Tests for what survived when lines were taken out one by one: a repeat at the deadline, after an attempt that was never issued, and after a change of cell.

--- a/crates/lab/src/policy/chassis.rs
+++ b/crates/lab/src/policy/chassis.rs
@@ -137,8 +137,9 @@
     }
 
     fn attempt_ended(&mut self, end: AttemptEnd, out: &mut Vec<Action>) {
-        self.pool.ended(end.endpoint);
-        self.pick.ended(&self.pool, end.endpoint);
+        if self.pool.ended(end.endpoint) {
+            self.pick.ended(&self.pool, end.endpoint);
+        }
         let current = |open: &Open| end.over || open.attempts == end.attempt + 1;
         if !self.open.get(&end.request).is_some_and(current) {
             return;
--- a/crates/lab/src/policy/pick/ring_hash.rs
+++ b/crates/lab/src/policy/pick/ring_hash.rs
@@ -100,3 +100,18 @@
         self.left = false;
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::points_each;
+
+    #[test]
+    fn a_ring_keeps_its_size_and_its_points_while_a_list_goes_up_and_down_a_little() {
+        assert_eq!(
+            [points_each(1, 128), points_each(1024, 128), points_each(1025, 128), points_each(10_000, 128)],
+            [128, 128, 64, 8]
+        );
+        assert_eq!([points_each(1000, 64), points_each(600, 64), points_each(512, 64)], [64, 64, 128]);
+        assert_eq!(points_each(1_000_000, 128), 1, "a longer list has one point for each");
+    }
+}
--- a/crates/lab/tests/policies/chassis.rs
+++ b/crates/lab/tests/policies/chassis.rs
@@ -63,6 +63,38 @@
     }
 }
 
+#[test]
+fn nothing_is_sent_that_could_not_be_answered() {
+    for name in TEXTBOOK {
+        let mut checker = Checker::new(name, settings(), list(8), 1);
+        let (past, silent, never_issued) =
+            (checker.arrive(ONCE, 0), checker.arrive(REPEATABLE, 10 * MS), checker.arrive(REPEATABLE, S));
+        checker.end(never_issued, 0, Outcome::Moot);
+        checker.advance(checker.now + 10 * MS);
+        let made =
+            [past, silent, never_issued].map(|id| (checker.went(id).len(), answers(&checker, id).len()));
+        assert_eq!(made, [(0, 1), (1, 1), (1, 1)], "{name}");
+    }
+}
+
+#[test]
+fn a_keyed_request_follows_its_endpoint_to_another_cell() {
+    for name in TEXTBOOK {
+        let mut checker = Checker::new(name, settings(), list(4), 1);
+        for entry in &mut checker.entries {
+            entry.cell = CellId(u64::from(entry.id.0 % 2));
+        }
+        checker.tell(Event::List(ListChange::Delta(checker.entries.clone())));
+        checker.list_state(2, State::Gone, false);
+        for _ in 0..20 {
+            let id = checker.arrive(BY_CELL, S);
+            checker.end(id, 0, Outcome::Error);
+            let went: Vec<_> = checker.went(id).iter().map(|at| at.0).collect();
+            assert!(matches!(went[..], [0] | [1, 3] | [3, 1]), "{name}: {went:?}");
+        }
+    }
+}
+
 #[test]
 fn without_an_endpoint_a_request_is_refused_at_once() {
     for name in TEXTBOOK {
