--- a/crates/decisions/src/sight.rs
+++ b/crates/decisions/src/sight.rs
@@ -81,7 +81,7 @@
     fn each_standing_is_seen() {
         let settings = Settings { classes: vec![Class::default()], ..Settings::default() };
         let mut balancer = Balancer::new(settings, 1, 1000 * S);
-        let mut tell = |balancer: &mut Balancer, event| balancer.handle(1000 * S, event, &mut Vec::new());
+        let tell = |balancer: &mut Balancer, event| balancer.handle(1000 * S, event, &mut Vec::new());
         let names = ["a", "b", "c", "d", "e", "f"];
         let mut list: Vec<_> =
             names.iter().zip(0..).map(|(name, n)| Entry::ready(EndpointId(n), name)).collect();
--- a/crates/lab/benches/decisions.rs
+++ b/crates/lab/benches/decisions.rs
@@ -1,8 +1,9 @@
 //! What the decisions cost, and two textbook policies for scale: a request with its outcome, and one changed
 //! entry of the list, at 10 to 10,000 endpoints.
 //!
-//! A quarter as many requests are open as there are endpoints, each endpoint serves some 50 a second of virtual
-//! time, all are warm and in good standing. Timers are not played: probes and overdue attempts cost extra.
+//! A quarter as many requests are open as there are endpoints, each endpoint serves some 50 a second of
+//! virtual time, all are warm and in good standing. Timers are not played: probes and overdue attempts cost
+//! extra.
 
 use criterion::{BenchmarkId, Criterion};
 use olivecart_decisions::*;
--- a/crates/lab/src/policy/broken.rs
+++ b/crates/lab/src/policy/broken.rs
@@ -1,19 +1,22 @@
 //! The decisions with a seeded bug: each now and then breaks one rule, so that a monitor has to catch it. A
 //! monitor that stays silent on one of these says nothing by its silence on the rest.
 //!
-//! | name | what it does | the rule it breaks |
-//! |---|---|---|
-//! | `broken_sends_twice` | a second attempt beside the first, elsewhere | effects: attempts at the same time, where the site allows no second copies |
-//! | `broken_sends_to_draining` | a first attempt (not of a class kept in a cell or zone) to an endpoint withdrawn more than twice the grace ago | drains |
-//! | `broken_answers_twice` | refuses a request, sends it all the same, and answers it again at its end | answers: nothing is sent for a request that has ended, and it ends once |
-//! | `broken_loses_one` | an attempt is never sent, or a final answer never given | answers: each request gets one |
-//! | `broken_answers_late` | the final answer comes a second after the client's deadline | answers: in time |
-//! | `broken_floods_cold` | all first attempts (but of such classes) to the endpoint that started last, for four windows of the rule | cold: no more than the multiple of what it can do |
-//! | `broken_resends_keyed` | a keyed request that may have run is sent again outside of its cell or zone | effects: no second one |
+//! - `broken_sends_twice`: a second attempt beside the first, elsewhere. Breaks the rule of effects where the
+//!   site allows no second copies.
+//! - `broken_resends_keyed`: a keyed request that may have run is sent again outside of its cell or zone.
+//!   Breaks the rule of effects; needs a class with such a group, and failures that may have run.
+//! - `broken_sends_to_draining`: a first attempt to an endpoint withdrawn more than twice the grace ago,
+//!   where its class is not kept in a cell or zone. Breaks the rule of drains; needs endpoints that drain or
+//!   go.
+//! - `broken_floods_cold`: all first attempts of such classes to the endpoint that started last, for four
+//!   windows of the rule. Breaks the cold rule; needs an endpoint that starts, and load.
+//! - `broken_answers_twice`: refuses a request, sends it all the same, and answers it again at its end.
+//!   Breaks the rule of answers: nothing is sent for a request that has ended, and it ends once.
+//! - `broken_loses_one`: an attempt is never sent, or a final answer never given. Breaks the rule of answers.
+//! - `broken_answers_late`: the answer comes a second after the client's deadline. Breaks the same.
 //!
-//! The last needs a class whose group is a cell or a zone, and failures that may have run; the drains and the
-//! cold need endpoints that drain and start. What is around the bug stays sound: the decisions are told of
-//! their own attempts only, by the numbers and endpoints that they chose, so that no other rule breaks with it.
+//! What is around the bug stays sound: the decisions are told of their own attempts only, by the numbers and
+//! endpoints that they chose, so that no other rule breaks with it.
 
 use super::pick::Chance;
 use super::pool::{Ask, Pool};
--- a/crates/lab/src/policy/chassis.rs
+++ b/crates/lab/src/policy/chassis.rs
@@ -1,11 +1,11 @@
-//! What every textbook policy needs and that is no choice of a server: the list, the open requests, and the four
-//! rules.
+//! What every textbook policy needs and that is no choice of a server: the list, the open requests, and the
+//! four rules.
 //!
-//! A request is sent at once, or refused with a come-back time where no endpoint can take it: nothing is held,
-//! and no timer is set for it. A failed attempt is repeated once, at another endpoint, where the rules permit
-//! it. Nothing is learnt from failures: there are no probes and no ejection; only the repeat of a request avoids
-//! the endpoint that just failed it. Warm-up is ignored as well, as textbooks do, so that such a policy may push
-//! a cold server over: that is a finding about the policy, not a fault of this chassis.
+//! A request is sent at once, or refused with a come-back time where no endpoint can take it: nothing is
+//! held, and no timer is set for it. A failed attempt is repeated once, at another endpoint, where the rules
+//! permit it. Nothing is learnt from failures: there are no probes and no ejection; only the repeat of a
+//! request avoids the endpoint that just failed it. Warm-up is ignored as well, as textbooks do, so that such
+//! a policy may push a cold server over: that is a finding about the policy, not a fault of this chassis.
 
 use super::pick::{Chance, Pick};
 use super::pool::{Ask, Pool};
--- a/crates/lab/src/policy/named.rs
+++ b/crates/lab/src/policy/named.rs
@@ -14,7 +14,8 @@
 pub const NAMES: &[&str] =
     &["olivecart", "random", "round_robin", "least_outstanding", "power_of_two", "ring_hash", "oracle"];
 
-/// The decisions with a bug, for the monitors to catch. Accepted by [`named`], but no policies to compare with.
+/// The decisions with a bug, for the monitors to catch. Accepted by [`named`], but no policies to compare
+/// with.
 pub const BROKEN: &[&str] = &[
     "broken_sends_twice",
     "broken_sends_to_draining",
--- a/crates/lab/src/policy/pick/least_outstanding.rs
+++ b/crates/lab/src/policy/pick/least_outstanding.rs
@@ -10,7 +10,8 @@
 
 /// Fewest own attempts out; of equal ones each is as likely as the other.
 ///
-/// Ready endpoints lie in buckets by their count, so that a choice and a change of a count take constant time.
+/// Ready endpoints lie in buckets by their count, so that a choice and a change of a count take constant
+/// time.
 #[derive(Default)]
 pub struct LeastOutstanding {
     /// By count; in no order within one.
--- a/crates/lab/src/policy/pick/mod.rs
+++ b/crates/lab/src/policy/pick/mod.rs
@@ -1,7 +1,7 @@
 //! How a textbook policy chooses a server; all the rest of one is the [chassis](super::chassis).
 //!
-//! None of them knows of sizes, zones, warm-up, load reports or failures but for its own attempts: that is what
-//! they are here to show.
+//! None of them knows of sizes, zones, warm-up, load reports or failures but for its own attempts: that is
+//! what they are here to show.
 
 mod least_outstanding;
 mod oracle;
--- a/crates/lab/src/policy/pick/oracle.rs
+++ b/crates/lab/src/policy/pick/oracle.rs
@@ -1,9 +1,9 @@
 //! The oracle: a bound for what can be reached. It sees the true state of the servers and sends each request
 //! where it should be finished first.
 //!
-//! It knows who serves, how much work waits, and what a cold or slow server can do at present; it does not know
-//! what is on its way from other proxies, nor how long a request really takes. It refuses nothing but what no
-//! server can take, also where all answers will come too late.
+//! It knows who serves, how much work waits, and what a cold or slow server can do at present; it does not
+//! know what is on its way from other proxies, nor how long a request really takes. It refuses nothing but
+//! what no server can take, also where all answers will come too late.
 
 use super::{Chance, Pick, any, least};
 use crate::policy::Sight;
--- a/crates/lab/src/policy/pick/power_of_two.rs
+++ b/crates/lab/src/policy/pick/power_of_two.rs
@@ -1,7 +1,7 @@
 //! Power of two choices: of two endpoints drawn at random, the one with fewer own attempts out.
 //!
-//! Azar, Broder, Karlin, Upfal, "Balanced Allocations" (SIAM J. Comput. 1999; STOC 1994): the fullest of n bins
-//! then holds about ln ln n balls instead of ln n / ln ln n. Mitzenmacher, "The Power of Two Choices in
+//! Azar, Broder, Karlin, Upfal, "Balanced Allocations" (SIAM J. Comput. 1999; STOC 1994): the fullest of n
+//! bins then holds about ln ln n balls instead of ln n / ln ln n. Mitzenmacher, "The Power of Two Choices in
 //! Randomized Load Balancing" (IEEE TPDS 2001): the same for queues.
 
 use super::{Chance, Pick, TRIES, any, least};
--- a/crates/lab/src/policy/pick/ring_hash.rs
+++ b/crates/lab/src/policy/pick/ring_hash.rs
@@ -1,8 +1,8 @@
 //! Ring hash: a request goes to the endpoint whose point follows the hash of its subject on a ring.
 //!
-//! Karger, Lehman, Leighton, Panigrahy, Levine, Lewin, "Consistent Hashing and Random Trees" (STOC 1997): each
-//! endpoint has several points, and one that comes or goes moves only the keys that are its own. Points come
-//! from the names, so that all proxies agree. Counts play no part.
+//! Karger, Lehman, Leighton, Panigrahy, Levine, Lewin, "Consistent Hashing and Random Trees" (STOC 1997):
+//! each endpoint has several points, and one that comes or goes moves only the keys that are its own. Points
+//! come from the names, so that all proxies agree. Counts play no part.
 
 use super::{Chance, Pick, least};
 use crate::policy::pool::{Ask, Pool};
@@ -33,8 +33,9 @@
     }
 }
 
-/// How many points each of `n` endpoints has, when it was `each` up to now. More only once they would fill half
-/// the ring's room: a list whose length goes up and down a little must not move half of all keys each time.
+/// How many points each of `n` endpoints has, when it was `each` up to now. More only once they would fill
+/// half the ring's room: a list whose length goes up and down a little must not move half of all keys each
+/// time.
 fn points_each(n: usize, mut each: usize) -> usize {
     while each > 1 && each * n > RING {
         each /= 2;
--- a/crates/lab/src/policy/pool.rs
+++ b/crates/lab/src/policy/pool.rs
@@ -1,5 +1,5 @@
-//! What a textbook policy knows of the endpoints: which of them take requests, and how many attempts of its own
-//! each has out. Some 30 bytes for each, and nothing here walks the list for a request, but
+//! What a textbook policy knows of the endpoints: which of them take requests, and how many attempts of its
+//! own each has out. Some 30 bytes for each, and nothing here walks the list for a request, but
 //! [`Pool::candidates`] on a list restricted to a zone.
 
 use olivecart_decisions::{CellId, EndpointId, Entry, Group, ListChange, Nanos, State, ZoneId};
--- a/crates/lab/tests/policies/checker.rs
+++ b/crates/lab/tests/policies/checker.rs
@@ -60,8 +60,8 @@
     }
 }
 
-/// What becomes of an attempt: how long it takes and how it ends. What takes longer than the client waits is a
-/// time-out.
+/// What becomes of an attempt: how long it takes and how it ends. What takes longer than the client waits is
+/// a time-out.
 pub type Fate = fn(&mut Pcg64Mcg) -> (Nanos, Outcome);
 
 /// Never an answer.
