--- a/crates/lab/src/policy/chassis.rs
+++ b/crates/lab/src/policy/chassis.rs
@@ -1,11 +1,11 @@
-//! What every textbook policy needs and that is no choice of a server: the list, the open requests, and the four
-//! rules.
+//! What every textbook policy needs and that is no choice of a server: the list, the open requests, and the
+//! four rules.
 //!
-//! A request is sent at once, or refused with a come-back time where no endpoint can take it: nothing is held,
-//! and no timer is set for it. A failed attempt is repeated once, at another endpoint, where the rules permit
-//! it. Nothing is learnt from failures: there are no probes and no ejection; only the repeat of a request avoids
-//! the endpoint that just failed it. Warm-up is ignored as well, as textbooks do, so that such a policy may push
-//! a cold server over: that is a finding about the policy, not a fault of this chassis.
+//! A request is sent at once, or refused with a come-back time where no endpoint can take it: nothing is
+//! held, and no timer is set for it. A failed attempt is repeated once, at another endpoint, where the rules
+//! permit it. Nothing is learnt from failures: there are no probes and no ejection; only the repeat of a
+//! request avoids the endpoint that just failed it. Warm-up is ignored as well, as textbooks do, so that such
+//! a policy may push a cold server over: that is a finding about the policy, not a fault of this chassis.
 
 use super::pick::{Chance, Pick};
 use super::pool::{Ask, Pool};
@@ -137,8 +137,9 @@
     }
 
     fn attempt_ended(&mut self, end: AttemptEnd, out: &mut Vec<Action>) {
-        self.pool.ended(end.endpoint);
-        self.pick.ended(&self.pool, end.endpoint);
+        if self.pool.ended(end.endpoint) {
+            self.pick.ended(&self.pool, end.endpoint);
+        }
         let current = |open: &Open| end.over || open.attempts == end.attempt + 1;
         if !self.open.get(&end.request).is_some_and(current) {
             return;
