--- a/crates/lab/src/experiment/key_path.rs
+++ b/crates/lab/src/experiment/key_path.rs
@@ -1,7 +1,7 @@
 //! Key paths into a scenario, such as `clients.load` or `tier[0].kind[1].speed`: which there are, after the
 //! scenario's JSON Schema, and setting one in a parsed file.
 
-use super::nearest::nearest;
+use crate::nearest::nearest;
 use crate::scenario::Scenario;
 use serde_json::Value as Json;
 use std::fmt;
--- a/crates/lab/src/experiment/mod.rs
+++ b/crates/lab/src/experiment/mod.rs
@@ -8,7 +8,6 @@
 mod grid;
 pub mod key_path;
 pub mod metrics;
-mod nearest;
 pub mod plan;
 mod player;
 pub mod select;
--- a/crates/lab/src/experiment/select.rs
+++ b/crates/lab/src/experiment/select.rs
@@ -5,8 +5,8 @@
 
 use super::folder::RESULTS;
 use super::metrics::Measured;
-use super::nearest::nearest;
 use super::words::run_words;
+use crate::nearest::nearest;
 use crate::results::{Entry, Outcome, Reader, ResultsError, Torn};
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::{Path, PathBuf};
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod engine;
 pub mod experiment;
 pub mod model;
+mod nearest;
 pub mod policy;
 pub mod report;
 pub mod results;
--- a/crates/lab/src/scenario/check/faults.rs
+++ b/crates/lab/src/scenario/check/faults.rs
@@ -1,7 +1,7 @@
 //! Faults: that what is given means something, and that each touches somebody.
 
+use crate::nearest::instead;
 use crate::scenario::key::{Key, top};
-use crate::scenario::nearest::instead;
 use crate::scenario::problem::Complaints;
 use crate::scenario::{Fault, FaultKind, Scenario};
 
--- a/crates/lab/src/scenario/mod.rs
+++ b/crates/lab/src/scenario/mod.rs
@@ -3,7 +3,6 @@
 mod check;
 mod figures;
 mod key;
-mod nearest;
 mod problem;
 mod read;
 mod schema;
--- a/crates/lab/src/scenario/shape.rs
+++ b/crates/lab/src/scenario/shape.rs
@@ -5,8 +5,8 @@
 
 use super::Span;
 use super::key::Key;
-use super::nearest::{instead, nearest};
 use super::problem::Complaints;
+use crate::nearest::{instead, nearest};
 use serde_json::{Map, Value};
 
 /// Checks a scenario's values against a schema. Unknown keys are taken out, so that the rest can be read.
@@ -112,7 +112,7 @@
         table.retain(|name, _| {
             let is_known = properties.contains_key(name);
             if !is_known {
-                meant.extend(nearest(name, &known));
+                meant.extend(nearest(name, known.iter().copied()));
                 let right = instead(name, known.iter().copied());
                 self.complaints.add_name(key.name(name), format!("unknown key `{name}`"), right);
             }
