Send a cold endpoint again what it answered in its usual time

A cold endpoint's share followed its age alone, so that in the fourth batch eight warm endpoints of 40 were left with half the load; they jammed, and since the share is a part of the work sent lately, refusals made it smaller still. Ruled out: requests held back (190 short holds, after the jam began) and the shedding (it followed).

Change: the work of an answer that came in its usual time is added to the cold budget again. What is answered can be done, so that all copies together send no more than the budget by age and what the endpoint did.

--- a/crates/decisions/src/logic.rs
+++ b/crates/decisions/src/logic.rs
@@ -42,6 +42,8 @@
 const SLOW_SHARE: f64 = 0.7;
 /// Part of the rule's multiple that the cold budget uses; the rest is margin for checks, handshakes, chance.
 const COLD_SHARE: f64 = 0.6;
+/// An answer that took less than this multiple of the expected duration came in its usual time.
+const USUAL_RATIO: f64 = 2.0;
 /// Part of its time for which a request is held while there is nowhere to send it.
 const HOLD_SHARE: f64 = 0.4;
 /// The same as a part of its class's aim: what waits longer is late in any case.
@@ -483,6 +485,9 @@
         if let (Outcome::Ok, Some(request)) = (end.outcome, self.open.get(&end.request)) {
             let aim = self.settings.classes[request.class].aim as f64;
             let (norm, ratio) = (&mut self.norms[request.class], took / request.work.max(1.0));
+            // What a cold endpoint has answered in its usual time it may be sent again: that much it can do.
+            // Danger: by age alone a deploy leaves most of the load to the few that are warm, and they jam.
+            self.endpoints[slot].budget += if ratio < USUAL_RATIO { request.work } else { 0.0 };
             let slow = &mut self.endpoints[slot].slow;
             *slow += LEARN * (ratio.min(LONGEST_RATIO) - *slow);
             // The first answers count in full: budgets are in units of this mean and must not shrink later.
--- a/crates/decisions/tests/failures.rs
+++ b/crates/decisions/tests/failures.rs
@@ -261,3 +261,27 @@
     let (at, _) = *timers(&actions).iter().find(|(_, t)| *t == Timer::Request(id)).expect("a timer");
     assert!(at - b.now >= Settings::default().limits.connect_timeout, "overdue after {} ns", at - b.now);
 }
+
+#[test]
+fn a_cold_endpoint_may_be_sent_again_what_it_has_answered_and_no_more() {
+    let entries = list(2);
+    let mut b = Bench::new(settings(Effect::Once), entries.clone());
+    for _ in 0..200 {
+        b.serve(10 * MS);
+    }
+    let cold = Entry { started: Some(b.now), ..entries[0].clone() };
+    b.list(ListChange::Delta(vec![cold, Entry { state: State::Gone, ..entries[1].clone() }]));
+    b.now += 500 * MS;
+    // Answered one by one, each makes room for the next...
+    let answered = (0..100).filter(|_| {
+        let (id, actions) = b.request(S);
+        b.now += 5 * MS;
+        sent(&actions)
+            .is_some_and(|at| !b.end(id, 0, at, Outcome::Ok, 5 * MS).is_empty() || at == EndpointId(0))
+    });
+    let answered = answered.count();
+    assert!(answered >= 95, "{answered} of 100 that it answers at once");
+    // ...but what it has not answered opens nothing.
+    let unanswered = (0..100).filter(|_| sent(&b.request(S).1).is_some()).count();
+    assert!(unanswered <= 6, "{unanswered} of 100 that it does not answer");
+}
