Membership: one checked catalog of clusters, as a state machine without I/O

Need: the proxy knows one source of endpoints and one list. Control planes and files shall feed it too, and news of any origin must pass one gate that never empties a cluster by mistake.

Change: a new crate. Sources tell whole lists or changes; the catalog refuses what can mean nothing, holds back what looks like a mistake until it is said again after the hold, by explicit word or by a second source, and puts out the smallest change for each cluster. Drains are never held, one source gives a cluster and others add caution, silence ages and empties nothing, identity goes by id.

--- /dev/null
+++ b/crates/membership/src/catalog/alarms.rs
@@ -0,0 +1,46 @@
+//! When the catalog wants to be woken, and for what.
+
+use super::Rank;
+use crate::names::ClusterName;
+use olivecart_decisions::Nanos;
+use std::collections::BTreeSet;
+
+/// What a wake-up is for.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Alarm {
+    /// A source is to be asked again about a cluster.
+    Ask(ClusterName, Rank),
+    /// Endpoints of a cluster have been away for long enough to be forgotten.
+    Forget(ClusterName),
+    /// A source has been silent for long enough to age its clusters.
+    Age(Rank),
+}
+
+/// All wake-ups that are wanted, by time.
+#[derive(Debug, Default)]
+pub(super) struct Alarms(BTreeSet<(Nanos, Alarm)>);
+
+impl Alarms {
+    /// Moves a wake-up from where it was to where it shall be.
+    pub fn set(&mut self, was: &mut Option<Nanos>, shall: Option<Nanos>, alarm: impl Fn() -> Alarm) {
+        if *was == shall {
+            return;
+        }
+        if let Some(at) = std::mem::replace(was, shall) {
+            self.0.remove(&(at, alarm()));
+        }
+        self.0.extend(shall.map(|at| (at, alarm())));
+    }
+
+    pub fn first(&self) -> Option<Nanos> {
+        self.0.first().map(|(at, _)| *at)
+    }
+
+    /// The next one that is due.
+    pub fn pop(&mut self, now: Nanos) -> Option<Alarm> {
+        if self.first()? > now {
+            return None;
+        }
+        self.0.pop_first().map(|(_, alarm)| alarm)
+    }
+}
--- /dev/null
+++ b/crates/membership/src/catalog/view.rs
@@ -0,0 +1,220 @@
+//! What operators see of the catalog: plain values, printed as lines or serialized for an admin socket.
+
+use super::cluster::ClusterState;
+use super::feed::Feed;
+use super::{Rank, Source};
+use crate::endpoint::{ClusterSettings, State};
+use crate::event::Silence;
+use crate::names::{ClusterName, SourceId, Version};
+use crate::refusal::Refusal;
+use olivecart_decisions::Nanos;
+use serde::Serialize;
+use std::fmt;
+
+/// One cluster.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct ClusterView {
+    /// Its name.
+    pub cluster: ClusterName,
+    /// Which source gives it; none if no source has said anything of it that could serve.
+    pub source: Option<SourceId>,
+    /// Its source has been silent for longer than the policy allows.
+    pub aged: bool,
+    /// When what serves last changed, in milliseconds ago.
+    pub changed_ms_ago: Option<u64>,
+    /// Endpoints that take new requests.
+    pub ready: usize,
+    /// Endpoints that are ready, with a weight of 0.
+    pub weightless: usize,
+    /// Endpoints that finish what they have.
+    pub draining: usize,
+    /// Endpoints that fail, as a source says.
+    pub unhealthy: usize,
+    /// Limits that come with it.
+    pub settings: ClusterSettings,
+    /// What each source says of it, in the order of precedence.
+    pub feeds: Vec<FeedView>,
+}
+
+/// What one source says of one cluster.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct FeedView {
+    /// The source.
+    pub source: SourceId,
+    /// The version accepted last.
+    pub version: Option<Version>,
+    /// How many endpoints were accepted; none if nothing has been, 0 if it is empty on purpose.
+    pub endpoints: Option<usize>,
+    /// The age of it: when the source last spoke of this cluster, in milliseconds ago.
+    pub heard_ms_ago: u64,
+    /// The source is silent, and for how many milliseconds.
+    pub silent: Option<(Silence, u64)>,
+    /// What is held back.
+    pub held: Option<HeldView>,
+    /// What was refused last.
+    pub refusal: Option<RefusalView>,
+}
+
+/// What is held back.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct HeldView {
+    /// What is suspicious.
+    pub suspicions: Vec<String>,
+    /// Only an explicit word lets it pass.
+    pub needs_word: bool,
+    /// How many endpoints' changes are held.
+    pub endpoints: usize,
+    /// For how many milliseconds.
+    pub for_ms: u64,
+    /// In how many milliseconds the source is asked again; before, no repetition confirms.
+    pub asks_in_ms: u64,
+}
+
+/// What was refused.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct RefusalView {
+    /// When, in milliseconds ago.
+    pub ms_ago: u64,
+    /// What and why.
+    pub reason: String,
+}
+
+/// One source.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct SourceView {
+    /// The source.
+    pub source: SourceId,
+    /// It is silent, and for how many milliseconds.
+    pub silent: Option<(Silence, u64)>,
+    /// What was refused last of it that was about no cluster that is known.
+    pub refusal: Option<RefusalView>,
+}
+
+impl SourceView {
+    pub(super) fn of(source: &Source, now: Nanos) -> SourceView {
+        SourceView {
+            source: source.id.clone(),
+            silent: source
+                .silent
+                .as_ref()
+                .map(|silent| (silent.silence, ms(now.saturating_sub(silent.since)))),
+            refusal: source.refusal.as_ref().map(|refusal| RefusalView::of(refusal, now)),
+        }
+    }
+}
+
+fn ms(nanos: Nanos) -> u64 {
+    nanos / 1_000_000
+}
+
+impl RefusalView {
+    pub(super) fn of((at, refusal): &(Nanos, Refusal), now: Nanos) -> RefusalView {
+        RefusalView { ms_ago: ms(now.saturating_sub(*at)), reason: refusal.to_string() }
+    }
+}
+
+impl ClusterView {
+    pub(super) fn of(state: &ClusterState, sources: &[Source], now: Nanos) -> ClusterView {
+        let service = state.service.as_ref();
+        let feed = |(rank, feed): (&Rank, &Feed)| feed_view(&sources[*rank], feed, now);
+        let mut view = ClusterView {
+            cluster: state.name.clone(),
+            source: service.map(|service| sources[service.owner].id.clone()),
+            aged: service.is_some_and(|service| service.aged),
+            changed_ms_ago: service.map(|service| ms(now.saturating_sub(service.changed))),
+            ready: 0,
+            weightless: 0,
+            draining: 0,
+            unhealthy: 0,
+            settings: service.map(|service| service.settings).unwrap_or_default(),
+            feeds: state.feeds.iter().map(feed).collect(),
+        };
+        for endpoint in service.into_iter().flat_map(|service| service.endpoints.values()) {
+            *match endpoint.state {
+                State::Ready if endpoint.takes_requests() => &mut view.ready,
+                State::Ready => &mut view.weightless,
+                State::Draining => &mut view.draining,
+                State::Unhealthy => &mut view.unhealthy,
+            } += 1;
+        }
+        view
+    }
+}
+
+fn feed_view(source: &Source, feed: &Feed, now: Nanos) -> FeedView {
+    let ago = |at: Nanos| ms(now.saturating_sub(at));
+    let held = feed.due().map(|due| {
+        let (hold, missing) = (feed.hold.as_ref(), feed.missing.as_ref());
+        let suspicions = hold.into_iter().flat_map(|hold| &hold.suspicions);
+        let suspicions: Vec<_> = suspicions.chain(missing.map(|missing| &missing.suspicion)).collect();
+        let since = hold.map(|hold| hold.since).into_iter().chain(missing.map(|missing| missing.since)).min();
+        HeldView {
+            needs_word: suspicions.iter().any(|suspicion| suspicion.needs_word()),
+            suspicions: suspicions.iter().map(|suspicion| suspicion.to_string()).collect(),
+            endpoints: hold.map_or(0, |hold| hold.items.len()),
+            for_ms: ago(since.unwrap_or(now)),
+            asks_in_ms: ms(due.saturating_sub(now)),
+        }
+    });
+    FeedView {
+        source: source.id.clone(),
+        version: feed.good.as_ref().map(|good| good.version.clone()),
+        endpoints: feed.own().map(|own| own.tally().listed),
+        heard_ms_ago: ago(feed.heard),
+        silent: source.silent.as_ref().map(|silent| (silent.silence, ago(silent.since))),
+        held,
+        refusal: feed.refusal.as_ref().map(|refusal| RefusalView::of(refusal, now)),
+    }
+}
+
+/// A length of time in the unit that a person would choose.
+fn span(ms: u64) -> String {
+    match ms {
+        0..10_000 => format!("{ms} ms"),
+        10_000..600_000 => format!("{} s", ms / 1000),
+        600_000..36_000_000 => format!("{} min", ms / 60_000),
+        _ => format!("{} h", ms / 3_600_000),
+    }
+}
+
+impl fmt::Display for ClusterView {
+    /// Several lines, without a line break at the end.
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "{}: ", self.cluster)?;
+        match (&self.source, self.changed_ms_ago) {
+            (Some(source), Some(changed)) => {
+                let ClusterView { ready, weightless, draining, unhealthy, .. } = self;
+                write!(f, "from {source}, {ready} ready, {draining} draining, {unhealthy} unhealthy")?;
+                write!(f, ", {weightless} of weight 0, changed {} ago", span(changed))?;
+                f.write_str(if self.aged { ", AGED" } else { "" })?;
+            }
+            _ => f.write_str("nothing serves")?,
+        }
+        self.feeds.iter().try_for_each(|feed| write!(f, "\n  {feed}"))
+    }
+}
+
+impl fmt::Display for FeedView {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "{}: ", self.source)?;
+        match (&self.version, self.endpoints) {
+            (Some(version), Some(0)) => write!(f, "version {version:?}, empty on purpose")?,
+            (Some(version), Some(n)) => write!(f, "version {version:?}, {n} endpoints")?,
+            _ => f.write_str("nothing accepted")?,
+        }
+        write!(f, ", heard {} ago", span(self.heard_ms_ago))?;
+        if let Some((silence, for_ms)) = &self.silent {
+            write!(f, ", source {silence} for {}", span(*for_ms))?;
+        }
+        if let Some(held) = &self.held {
+            let (reasons, for_ms) = (held.suspicions.join("; "), span(held.for_ms));
+            write!(f, "\n    held for {for_ms}, {} endpoints: {reasons}; ", held.endpoints)?;
+            write!(f, "asked again in {}", span(held.asks_in_ms))?;
+            f.write_str(if held.needs_word { ", needs an explicit word" } else { "" })?;
+        }
+        match &self.refusal {
+            Some(refusal) => write!(f, "\n    {} ago: {}", span(refusal.ms_ago), refusal.reason),
+            None => Ok(()),
+        }
+    }
+}
