Read clusters from TOML and JSON, whole or not at all, and tell differences in words

Need: operators edit endpoint lists, in single files and in directories of fragments; what is torn, empty or contradictory must never be served.

Change: one schema for both forms, with file, line, column and key of every fault at once; TOML ends with [end], since a torn TOML file is a shorter one; a cluster stands in one fragment. What differs between two sets, what of it the catalog would hold back, and what a set amounts to, in words.

--- /dev/null
+++ b/crates/membership/src/file/read.rs
@@ -0,0 +1,369 @@
+//! From a tree to clusters, with all that is wrong on the way.
+
+use super::VERSION;
+use super::problem::{Fault, FileProblem, FileProblems, place};
+use super::tree::{Entry, Node, Value, is_json};
+use crate::endpoint::{Cluster, ClusterSettings, Endpoint, Endpoints, Metadata, State};
+use crate::names::{Label, fault_of};
+use crate::refusal::Invalid;
+use std::collections::BTreeMap;
+use std::collections::btree_map::Entry::{Occupied, Vacant};
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::time::Duration;
+
+/// A cluster, and where its name stands.
+pub(super) struct Placed {
+    pub cluster: Cluster,
+    pub key: String,
+    pub line: usize,
+    pub column: usize,
+}
+
+/// Reads a file.
+pub(super) fn read(file: &str, text: &str) -> Result<Vec<Placed>, FileProblems> {
+    let mut reader = Reader { file, text, problems: Vec::new(), labels: BTreeMap::new() };
+    let tree = if is_json(file, text) { Node::from_json(text) } else { Node::from_toml(text) };
+    let clusters = match tree {
+        Ok(tree) => reader.clusters(&tree),
+        Err((range, fault)) => {
+            reader.problem(&range, "", fault);
+            Vec::new()
+        }
+    };
+    FileProblems::of(reader.problems).map_or(Ok(clusters), Err)
+}
+
+struct Reader<'t> {
+    file: &'t str,
+    text: &'t str,
+    problems: Vec<FileProblem>,
+    /// Zones and kinds, so that endpoints share them.
+    labels: BTreeMap<String, Label>,
+}
+
+/// The keys of a table that are taken out one by one.
+struct Table<'n> {
+    key: String,
+    range: Range<usize>,
+    entries: BTreeMap<&'n str, &'n Entry>,
+}
+
+const TOP: [&str; 3] = ["version", "clusters", "end"];
+const CLUSTER: [&str; 8] = [
+    "name",
+    "empty",
+    "endpoints",
+    "connect_timeout",
+    "max_connections",
+    "max_pending_requests",
+    "max_requests",
+    "max_retries",
+];
+const ENDPOINT: [&str; 10] =
+    ["name", "address", "zone", "priority", "weight", "cell", "kind", "state", "metadata", "started_ms"];
+
+impl Reader<'_> {
+    fn problem(&mut self, range: &Range<usize>, key: &str, fault: Fault) {
+        self.problems.push(FileProblem::at(self.file, self.text, range, key.to_owned(), fault));
+    }
+
+    fn wrong(&mut self, node: &Node, key: &str, wanted: &'static str) {
+        let found = match &node.value {
+            Value::Text(text) => format!("{text:?}"),
+            Value::Whole(number) => number.to_string(),
+            Value::Real(number) => number.to_string(),
+            Value::Bool(is) => is.to_string(),
+            Value::List(_) => "a list".into(),
+            Value::Table(_) => "a table".into(),
+            Value::Other(what) => (*what).into(),
+        };
+        self.problem(&node.range, key, Fault::Value { wanted, found });
+    }
+
+    /// A table of known keys. Of a key that comes twice the first counts.
+    fn table<'n>(&mut self, node: &'n Node, key: &str, known: &[&str]) -> Option<Table<'n>> {
+        let Value::Table(entries) = &node.value else {
+            self.wrong(node, key, "a table");
+            return None;
+        };
+        let (mut table, dot) = (BTreeMap::new(), if key.is_empty() { "" } else { "." });
+        for entry in entries {
+            let inner = format!("{key}{dot}{}", entry.name);
+            if !known.is_empty() && !known.contains(&entry.name.as_str()) {
+                self.problem(&entry.range, &inner, Fault::Unknown { instead: instead(&entry.name, known) });
+                continue;
+            }
+            match table.entry(entry.name.as_str()) {
+                Vacant(place) => _ = place.insert(entry),
+                Occupied(_) => self.problem(&entry.range, &inner, Fault::KeyTwice),
+            }
+        }
+        Some(Table { key: key.to_owned(), range: node.range.clone(), entries: table })
+    }
+
+    /// A value that must be there.
+    fn needed<'n>(&mut self, table: &Table<'n>, name: &str) -> Option<&'n Node> {
+        let node = table.entries.get(name).map(|entry| &entry.node);
+        if node.is_none() {
+            self.problem(&table.range, &table.inner(name), Fault::Missing);
+        }
+        node
+    }
+
+    /// A value of one form, if the key is there.
+    fn value<T>(
+        &mut self,
+        table: &Table,
+        name: &str,
+        wanted: &'static str,
+        read: impl Fn(&Value) -> Option<T>,
+    ) -> Option<T> {
+        let node = &table.entries.get(name)?.node;
+        let value = read(&node.value);
+        if value.is_none() {
+            self.wrong(node, &table.inner(name), wanted);
+        }
+        value
+    }
+
+    fn label(&mut self, table: &Table, name: &str) -> Label {
+        let text = self.value(table, name, "a text", text).unwrap_or_default();
+        self.labels.entry(text).or_insert_with_key(|text| Label::from(text.as_str())).clone()
+    }
+
+    fn clusters(&mut self, tree: &Node) -> Vec<Placed> {
+        let Some(table) = self.table(tree, "", &TOP) else { return Vec::new() };
+        if let Some(node) = self.needed(&table, "version") {
+            match node.value {
+                Value::Whole(version) if version == i128::from(VERSION) => {}
+                Value::Whole(version) => {
+                    self.problem(&node.range, "version", Fault::Version { found: version.to_string() });
+                }
+                _ => self.wrong(node, "version", "a whole number"),
+            }
+        }
+        let empty =
+            |value: &Value| matches!(value, Value::Table(entries) if entries.is_empty()).then_some(());
+        self.value(&table, "end", "an empty table", empty);
+        let Some(node) = self.needed(&table, "clusters") else { return Vec::new() };
+        let Value::List(items) = &node.value else {
+            self.wrong(node, "clusters", "a list of clusters");
+            return Vec::new();
+        };
+        if items.is_empty() {
+            self.problem(&node.range, "clusters", Fault::NoClusters);
+        }
+        let mut clusters: Vec<Placed> = Vec::new();
+        let mut lines: BTreeMap<String, usize> = BTreeMap::new();
+        for (at, item) in items.iter().enumerate() {
+            let Some(placed) = self.cluster(item, &format!("clusters[{at}]")) else { continue };
+            let name = placed.cluster.name.as_str().to_owned();
+            self.unique(&mut lines, "cluster", name, (placed.line, placed.column), &placed.key);
+            clusters.push(placed);
+        }
+        clusters
+    }
+
+    /// Notes where a name stands, and complains if it stands elsewhere too.
+    fn unique(
+        &mut self,
+        lines: &mut BTreeMap<String, usize>,
+        what: &'static str,
+        name: String,
+        (line, column): (usize, usize),
+        key: &str,
+    ) {
+        match lines.entry(name) {
+            Vacant(place) => _ = place.insert(line),
+            Occupied(place) => {
+                let (name, place) = (place.key().clone(), format!("{}:{}", self.file, place.get()));
+                let (file, key, fault) = (self.file.into(), key.into(), Fault::Twice { what, name, place });
+                self.problems.push(FileProblem { file, line, column, key, fault });
+            }
+        }
+    }
+
+    /// A name that can be used, and where it stands.
+    fn name(
+        &mut self,
+        table: &Table,
+        invalid: fn(&'static str) -> Invalid,
+    ) -> Option<(String, usize, usize)> {
+        let node = self.needed(table, "name")?;
+        let name = self.value(table, "name", "a text", text)?;
+        if let Some(fault) = fault_of(&name) {
+            self.problem(&node.range, &table.inner("name"), Fault::Invalid(invalid(fault)));
+        }
+        let (line, column) = place(self.text, node.range.start);
+        Some((name, line, column))
+    }
+
+    fn cluster(&mut self, node: &Node, key: &str) -> Option<Placed> {
+        let table = self.table(node, key, &CLUSTER)?;
+        let name = self.name(&table, |fault| Invalid::ClusterName { fault });
+        let settings = self.settings(&table);
+        let endpoints = self.endpoints(&table);
+        let (name, line, column) = name?;
+        let cluster = Cluster { name: name.as_str().into(), endpoints, settings };
+        Some(Placed { cluster, key: table.inner("name"), line, column })
+    }
+
+    fn settings(&mut self, table: &Table) -> ClusterSettings {
+        let connect_timeout =
+            self.value(table, "connect_timeout", "a length of time such as \"250ms\"", time);
+        let mut count = |name| self.value(table, name, "a whole number from 0 to 4294967295", whole::<u32>);
+        let settings = ClusterSettings {
+            connect_timeout,
+            max_connections: count("max_connections"),
+            max_pending_requests: count("max_pending_requests"),
+            max_requests: count("max_requests"),
+            max_retries: count("max_retries"),
+        };
+        if let Err(fault) = settings.check() {
+            self.invalid(table, fault);
+        }
+        settings
+    }
+
+    /// Complains about a value of a table, at the key that the fault names.
+    fn invalid(&mut self, table: &Table, fault: Invalid) {
+        let entry = fault.key().and_then(|name| table.entries.get(name));
+        let range = entry.map_or(&table.range, |entry| &entry.node.range).clone();
+        let key = fault.key().map_or(table.key.clone(), |name| table.inner(name));
+        self.problem(&range, &key, Fault::Invalid(fault));
+    }
+
+    fn endpoints(&mut self, table: &Table) -> Endpoints {
+        let is_empty = self.value(table, "empty", "true or false", truth) == Some(true);
+        let node = table.entries.get("endpoints").map(|entry| &entry.node);
+        let items: &[Node] = match node.map(|node| (node, &node.value)) {
+            None => &[],
+            Some((_, Value::List(items))) => items,
+            Some((node, _)) => {
+                self.wrong(node, &table.inner("endpoints"), "a list of endpoints");
+                return Endpoints::NoneOnPurpose;
+            }
+        };
+        let (range, key) = (node.map_or(&table.range, |node| &node.range).clone(), table.inner("endpoints"));
+        match (is_empty, items.len()) {
+            (true, 0) => return Endpoints::NoneOnPurpose,
+            (true, count) => {
+                let range = table.entries.get("empty").map_or(&range, |entry| &entry.node.range).clone();
+                self.problem(&range, &table.inner("empty"), Fault::NotEmpty { count });
+            }
+            (false, 0) => self.problem(&range, &key, Fault::NoEndpoints),
+            (false, _) => {}
+        }
+        let (mut list, mut lines) = (Vec::with_capacity(items.len()), BTreeMap::new());
+        for (at, item) in items.iter().enumerate() {
+            list.extend(self.endpoint(item, &format!("{key}[{at}]"), &mut lines));
+        }
+        let mut ready = list.iter().filter(|e: &&Endpoint| e.state == State::Ready).peekable();
+        if ready.peek().is_some() && ready.all(|e| e.weight == 0.0) {
+            self.problem(&range, &key, Fault::AllWeightsZero);
+        }
+        Endpoints::Listed(list)
+    }
+
+    fn endpoint(&mut self, node: &Node, key: &str, lines: &mut BTreeMap<String, usize>) -> Option<Endpoint> {
+        let known = self.problems.len();
+        let table = self.table(node, key, &ENDPOINT)?;
+        let name = self.name(&table, |fault| Invalid::EndpointName { fault });
+        let address =
+            self.value(&table, "address", "an IP address and port such as \"10.0.0.1:8080\"", address);
+        let state = self.value(&table, "state", "\"ready\", \"draining\" or \"unhealthy\"", state);
+        let (zone, kind) = (self.label(&table, "zone"), self.label(&table, "kind"));
+        let count = "a whole number of at least 0";
+        let priority = self.value(&table, "priority", "a whole number from 0 to 128", whole);
+        let weight = self.value(&table, "weight", "a number", number);
+        let cell = self.value(&table, "cell", count, whole);
+        let started = self.value(&table, "started_ms", count, whole::<u64>);
+        let metadata = self.metadata(&table);
+        let (name, line, column) = name?;
+        self.unique(lines, "endpoint", name.clone(), (line, column), &table.inner("name"));
+        let endpoint = Endpoint {
+            name: name.as_str().into(),
+            address,
+            zone,
+            priority: priority.unwrap_or(0),
+            weight: weight.unwrap_or(1.0),
+            cell: cell.unwrap_or(0),
+            kind,
+            state: state.unwrap_or_default(),
+            metadata,
+            started: started.filter(|ms| *ms > 0).map(|ms| ms.saturating_mul(1_000_000)),
+        };
+        // What was complained of already would be complained of once more.
+        if let Err(fault) = endpoint.check()
+            && self.problems.len() == known
+        {
+            self.invalid(&table, fault);
+        }
+        Some(endpoint)
+    }
+
+    fn metadata(&mut self, table: &Table) -> Metadata {
+        let Some(entry) = table.entries.get("metadata") else { return Metadata::default() };
+        let key = table.inner("metadata");
+        let Some(pairs) = self.table(&entry.node, &key, &[]) else { return Metadata::default() };
+        let names: Vec<&str> = pairs.entries.keys().copied().collect();
+        let pair = |name| Some((name, self.value(&pairs, name, "a text", text)?));
+        names.into_iter().filter_map(pair).collect()
+    }
+}
+
+impl Table<'_> {
+    /// The whole name of a key in it.
+    fn inner(&self, name: &str) -> String {
+        if self.key.is_empty() { name.to_owned() } else { format!("{}.{name}", self.key) }
+    }
+}
+
+fn text(value: &Value) -> Option<String> {
+    if let Value::Text(text) = value { Some(text.clone()) } else { None }
+}
+
+fn truth(value: &Value) -> Option<bool> {
+    if let Value::Bool(is) = value { Some(*is) } else { None }
+}
+
+fn whole<T: TryFrom<i128>>(value: &Value) -> Option<T> {
+    if let Value::Whole(number) = value { T::try_from(*number).ok() } else { None }
+}
+
+fn number(value: &Value) -> Option<f64> {
+    match value {
+        Value::Whole(number) => Some(*number as f64),
+        Value::Real(number) => Some(*number),
+        _ => None,
+    }
+}
+
+fn time(value: &Value) -> Option<Duration> {
+    humantime::parse_duration(&text(value)?).ok()
+}
+
+fn address(value: &Value) -> Option<SocketAddr> {
+    text(value)?.parse().ok()
+}
+
+fn state(value: &Value) -> Option<State> {
+    match text(value)?.as_str() {
+        "ready" => Some(State::Ready),
+        "draining" => Some(State::Draining),
+        "unhealthy" => Some(State::Unhealthy),
+        _ => None,
+    }
+}
+
+/// What to write instead of an unknown key: the nearest known one, or what is known if none is near.
+fn instead(name: &str, known: &[&str]) -> String {
+    // As clap does for options: below 0.7 a suggestion is as often wrong as right.
+    let likeness = |other: &str| strsim::jaro_winkler(&name.to_lowercase(), other);
+    let near = known.iter().map(|&k| (likeness(k), k)).filter(|(likeness, _)| *likeness > 0.7);
+    match near.max_by(|a, b| a.0.total_cmp(&b.0)) {
+        Some((_, near)) => format!("did you mean `{near}`?"),
+        None => format!("known: {}", known.join(", ")),
+    }
+}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -26,13 +26,17 @@
 #[macro_use]
 mod names;
 mod catalog;
+mod diff;
 mod endpoint;
 mod event;
+pub mod file;
 mod output;
 mod policy;
 mod refusal;
+mod summary;
 
 pub use catalog::{Catalog, ClusterView, FeedView, HeldView, RefusalView, Served, SourceView};
+pub use diff::{Difference, Edit, diff, held};
 pub use endpoint::{Cluster, ClusterSettings, Endpoint, Endpoints, Metadata, State};
 pub use event::{ClusterUpdate, Event, News, Silence};
 pub use names::{ClusterName, EndpointName, Label, SourceId, Version};
@@ -40,3 +44,4 @@
 pub use output::{Added, Aged, Arrival, Cause, Change, Confirmation, Held, Output, Removed, Upserted};
 pub use policy::{BadPolicy, Policy};
 pub use refusal::{Invalid, Refusal, Suspicion};
+pub use summary::{ClusterSummary, Summary, summary};
