Measure the catalog at 10, 1,000 and 10,000 endpoints

Need: 10,000 endpoints that change ten times a second must never hold the event loop for over 5 ms.

Change: a bench of lists and single changes, also while a list is held, that prints the memory an endpoint takes.

--- /dev/null
+++ b/crates/membership/benches/catalog.rs
@@ -0,0 +1,163 @@
+//! What the catalog costs at 10, 1,000 and 10,000 endpoints: a first list, the same list again, a list in
+//! which one endpoint in ten has changed, one changed endpoint, one that leaves and comes, and one changed
+//! endpoint while a whole list is held. Prints the memory that an endpoint takes, before the times.
+
+use criterion::{BatchSize, BenchmarkId, Criterion};
+use olivecart_membership::{
+    Catalog, Cluster, ClusterUpdate, Endpoint, Event, Label, Nanos, News, Output, Policy, SourceId, Version,
+};
+use std::hint::black_box;
+use std::time::Duration;
+
+const SIZES: [usize; 3] = [10, 1_000, 10_000];
+const S: Nanos = 1_000_000_000;
+
+struct Bench {
+    catalog: Catalog,
+    source: SourceId,
+    now: Nanos,
+    out: Vec<Output>,
+}
+
+impl Bench {
+    fn new() -> Bench {
+        let source = SourceId::from("bench");
+        let catalog = Catalog::new(Policy::default(), [source.clone()]).expect("the default policy");
+        Bench { catalog, source, now: 0, out: Vec::new() }
+    }
+
+    fn with(endpoints: &[Endpoint]) -> Bench {
+        let mut bench = Bench::new();
+        bench.say(list(endpoints));
+        bench
+    }
+
+    fn say(&mut self, news: News) -> usize {
+        self.now += S / 10;
+        let event = Event::News { source: self.source.clone(), version: Version::from(1), news };
+        self.out.clear();
+        self.catalog.handle(self.now, event, &mut self.out);
+        self.out.len()
+    }
+}
+
+fn endpoints(count: usize) -> Vec<Endpoint> {
+    let zones: Vec<Label> = ["a", "b", "c"].map(Label::from).into();
+    let endpoint = |i: usize| {
+        let address = ([10, (i >> 16) as u8, (i >> 8) as u8, i as u8], 8080).into();
+        // Names as registries make them: their order is not that of the list.
+        let name = format!("s-{:08x}", (i as u32).wrapping_mul(0x9e37_79b1));
+        Endpoint { zone: zones[i % 3].clone(), ..Endpoint::ready(name.as_str(), address) }
+    };
+    (0..count).map(endpoint).collect()
+}
+
+fn list(endpoints: &[Endpoint]) -> News {
+    News::Clusters(vec![Cluster::new("cart", endpoints.to_vec())])
+}
+
+fn update(upserts: Vec<Endpoint>, removals: &[&Endpoint]) -> News {
+    let removals = removals.iter().map(|e| e.name.clone()).collect();
+    News::Changes(vec![ClusterUpdate { cluster: "cart".into(), settings: None, upserts, removals }])
+}
+
+fn lists(c: &mut Criterion) {
+    let mut group = c.benchmark_group("list");
+    group.sample_size(20).warm_up_time(Duration::from_millis(500)).measurement_time(Duration::from_secs(2));
+    for size in SIZES {
+        let first = endpoints(size);
+        let mut tenth = first.clone();
+        tenth.iter_mut().step_by(10).for_each(|e| e.weight = 2.0);
+        group.bench_with_input(BenchmarkId::new("first", size), &first, |b, first| {
+            let fresh = || (Bench::new(), list(first));
+            b.iter_batched(fresh, |(mut bench, news)| (bench.say(news), bench), BatchSize::PerIteration);
+        });
+        group.bench_with_input(BenchmarkId::new("same", size), &first, |b, first| {
+            let mut bench = Bench::with(first);
+            b.iter_batched(|| list(first), |news| black_box(bench.say(news)), BatchSize::PerIteration);
+        });
+        group.bench_with_input(BenchmarkId::new("tenth", size), &(first, tenth), |b, (first, tenth)| {
+            let (mut bench, mut turn) = (Bench::with(first), false);
+            let next = || {
+                turn = !turn;
+                list(if turn { tenth } else { first })
+            };
+            b.iter_batched(next, |news| black_box(bench.say(news)), BatchSize::PerIteration);
+        });
+        group.bench_with_input(BenchmarkId::new("held", size), &endpoints(size), |b, first| {
+            let mut bench = Bench::with(first);
+            let few = &first[..size / 3];
+            b.iter_batched(|| list(few), |news| black_box(bench.say(news)), BatchSize::PerIteration);
+        });
+    }
+    group.finish();
+}
+
+fn changes(c: &mut Criterion) {
+    let mut group = c.benchmark_group("one endpoint");
+    group.sample_size(50).warm_up_time(Duration::from_millis(500)).measurement_time(Duration::from_secs(2));
+    for size in SIZES {
+        let first = endpoints(size);
+        let heavier = |at: &mut usize| {
+            *at += 1;
+            let endpoint = &first[*at * 7 % size];
+            Endpoint { weight: 1.0 + (*at / size + 1) as f64, ..endpoint.clone() }
+        };
+        group.bench_function(BenchmarkId::new("changed", size), |b| {
+            let (mut bench, mut at) = (Bench::with(&first), 0);
+            let next = || update(vec![heavier(&mut at)], &[]);
+            b.iter_batched(next, |news| black_box(bench.say(news)), BatchSize::SmallInput);
+        });
+        group.bench_function(BenchmarkId::new("left and came", size), |b| {
+            let (mut bench, mut at) = (Bench::with(&first), 0);
+            let next = || {
+                at += 1;
+                let endpoint = &first[at * 7 % size];
+                (update(Vec::new(), &[endpoint]), update(vec![endpoint.clone()], &[]))
+            };
+            let both = |(left, came)| black_box(bench.say(left) + bench.say(came));
+            b.iter_batched(next, both, BatchSize::SmallInput);
+        });
+        group.bench_function(BenchmarkId::new("changed while a list is held", size), |b| {
+            let (mut bench, mut at) = (Bench::with(&first), 0);
+            bench.say(list(&first[..size / 3]));
+            let next = || update(vec![heavier(&mut at)], &[]);
+            b.iter_batched(next, |news| black_box(bench.say(news)), BatchSize::SmallInput);
+        });
+    }
+    group.finish();
+}
+
+/// Resident memory of this process, in bytes; none where the system does not tell.
+fn resident() -> Option<usize> {
+    let statm = std::fs::read_to_string("/proc/self/statm").ok()?;
+    let pages: usize = statm.split_ascii_whitespace().nth(1)?.parse().ok()?;
+    Some(pages * 4096)
+}
+
+fn memory() {
+    const COUNT: usize = 100_000;
+    let source = SourceId::from("bench");
+    let policy = Policy { max_endpoints: COUNT, ..Policy::default() };
+    let mut bench = Bench {
+        catalog: Catalog::new(policy, [source.clone()]).expect("a usable policy"),
+        source,
+        now: 0,
+        out: Vec::new(),
+    };
+    let before = resident();
+    bench.say(list(&endpoints(COUNT)));
+    bench.out = Vec::new();
+    if let (Some(before), Some(after)) = (before, resident()) {
+        println!("memory: {} bytes for each of {COUNT} endpoints", after.saturating_sub(before) / COUNT);
+    }
+    drop(bench);
+}
+
+fn main() {
+    memory();
+    let mut criterion = Criterion::default().configure_from_args();
+    lists(&mut criterion);
+    changes(&mut criterion);
+    criterion.final_summary();
+}
