Add what decides in the lab's stand-ins: servers, key tables, registry, faults

The lab is to play a scenario on real sockets too. What decides there is plain code without sockets or clocks: who plays and how fast, what goes wrong when and for whom, a server's slots, queue and cores (cold start, crowding, pauses, connections, load reports, falling over), the key tables that find a second effect, and discovery's versions.

A server's events happen at the instant at which they are due, however late it is asked.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod policy;
 pub mod run;
 pub mod scenario;
+pub mod sockets;
--- /dev/null
+++ b/crates/lab/src/sockets/server/machine.rs
@@ -0,0 +1,522 @@
+//! The queue, the slots and the cores of a server.
+
+use super::pace::Pace;
+use super::reports::{Figures, Now, Reports};
+use crate::scenario::{Cancel, Kind, Rules};
+use crate::sockets::chance::Chance;
+use crate::sockets::effects::{Effects, Execution};
+use crate::sockets::faults::Trouble;
+use rand::Rng;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+
+/// Names a request at its server; never used again.
+pub type Ticket = u64;
+
+/// A request as a server sees it. Times are in nanoseconds.
+#[derive(Clone, Debug, Default)]
+pub struct Ask {
+    /// Its class, as an index into the scenario's.
+    pub class: usize,
+    /// What tells its repeats.
+    pub key: Option<String>,
+    /// Its work here, on a core of speed 1.
+    pub work: u64,
+    /// When its sender stops waiting.
+    pub until: Option<u64>,
+}
+
+/// What a server says of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Said {
+    /// Turned away: it drains.
+    Draining,
+    /// Turned away: the queue is full.
+    Full,
+    /// Turned away: nobody waited any more when its turn came.
+    Over,
+    /// Failed at once.
+    Error,
+    /// It was done before, here or near, and is not done again.
+    Repeat,
+    /// Its work here is done. It keeps its slot until it [leaves](Machine::leave).
+    Ran,
+}
+
+/// What a server is.
+#[derive(Clone)]
+pub struct Shape {
+    /// Its kind of machine.
+    pub kind: Kind,
+    /// Speed of a core.
+    pub speed: f64,
+    /// Where it is, for the key tables.
+    pub zone: u64,
+    /// The latter.
+    pub cell: u64,
+    /// How a cold one falls over.
+    pub rules: Rules,
+}
+
+/// Counts over a server's whole life, restarts included. Work is in nanoseconds at speed 1.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    /// Requests that reached it.
+    pub attempts: u64,
+    /// Those that it turned away.
+    pub turned_away: u64,
+    /// Work done.
+    pub work: f64,
+    /// Work done for which nobody got an answer.
+    pub wasted: f64,
+    /// Most requests that were there at a time.
+    pub peak_requests: u64,
+    /// Probes.
+    pub probes: u64,
+    /// Connections made.
+    pub handshakes: u64,
+    /// Most connections at a time.
+    pub peak_connections: u64,
+    /// Open connections, summed over time: connections times nanoseconds.
+    pub connection_time: f64,
+    /// Time that it ran, in nanoseconds.
+    pub uptime: u64,
+    /// Times that it died.
+    pub deaths: u32,
+    /// It fell over while cold.
+    pub fell_over: bool,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// For a slot.
+    Waits,
+    /// In a slot; waits for a core, has one, or has had one.
+    Works,
+    /// It will never be answered.
+    Swallowed,
+}
+
+struct Job {
+    ask: Ask,
+    stage: Stage,
+    /// Its work here is done.
+    ran: bool,
+    /// Its sender is gone.
+    called_off: bool,
+}
+
+struct Running {
+    work: f64,
+    began: u64,
+    ends: u64,
+}
+
+/// A server.
+pub struct Machine {
+    shape: Shape,
+    pace: Pace,
+    reports: Option<Reports>,
+    chance: Chance,
+    alive: bool,
+    draining: bool,
+    troubles: Vec<Trouble>,
+    jobs: BTreeMap<Ticket, Job>,
+    /// For a slot.
+    queue: VecDeque<Ticket>,
+    in_slots: u32,
+    /// For a core: requests, and chores with their work.
+    for_core: VecDeque<(Ticket, f64)>,
+    running: BTreeMap<Ticket, Running>,
+    ends: BinaryHeap<Reverse<(u64, Ticket)>>,
+    next: Ticket,
+    /// Work that reached it of late while it was cold.
+    pressure: VecDeque<(u64, f64)>,
+    connections: u64,
+    /// All is done and counted up to here.
+    counted_until: u64,
+    tally: Tally,
+    said: Vec<(Ticket, Said)>,
+}
+
+impl Machine {
+    /// A warm server that runs.
+    pub fn new(shape: Shape, chance: Chance) -> Machine {
+        let kind = &shape.kind;
+        let mut machine = Machine {
+            pace: Pace::new(shape.speed, kind.cores, kind.cold, kind.crowd, kind.pause),
+            reports: None,
+            chance,
+            alive: false,
+            draining: false,
+            troubles: Vec::new(),
+            jobs: BTreeMap::new(),
+            queue: VecDeque::new(),
+            in_slots: 0,
+            for_core: VecDeque::new(),
+            running: BTreeMap::new(),
+            ends: BinaryHeap::new(),
+            next: 0,
+            pressure: VecDeque::new(),
+            connections: 0,
+            counted_until: 0,
+            tally: Tally::default(),
+            said: Vec::new(),
+            shape,
+        };
+        machine.start(0, false);
+        machine
+    }
+
+    /// It starts.
+    pub fn start(&mut self, now: u64, cold: bool) {
+        self.count(now);
+        (self.alive, self.draining) = (true, false);
+        self.pace.starts(now, cold, &mut self.chance);
+        self.reports = self.shape.kind.report.map(|spec| Reports::new(spec, now));
+        self.pressure.clear();
+    }
+
+    /// It dies with all that it has.
+    pub fn stop(&mut self, now: u64, effects: &mut Effects) {
+        self.advance(now, effects);
+        for running in self.running.values() {
+            let speed = running.work / ((running.ends - running.began) as f64).max(1.0);
+            let done = now.saturating_sub(running.began) as f64 * speed;
+            self.tally.work += done;
+            self.tally.wasted += done;
+        }
+        let unanswered = self.jobs.values().filter(|job| job.ran).map(|job| job.ask.work as f64);
+        self.tally.wasted += unanswered.sum::<f64>();
+        self.tally.deaths += u32::from(self.alive);
+        self.alive = false;
+        self.jobs.clear();
+        self.queue.clear();
+        self.for_core.clear();
+        self.running.clear();
+        self.ends.clear();
+        self.said.clear();
+        (self.in_slots, self.connections) = (0, 0);
+    }
+
+    /// A planned end: it turns away what comes from now on.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// A trouble begins or ends. A crash is for [`Machine::stop`] and [`Machine::start`].
+    pub fn trouble(&mut self, trouble: Trouble, on: bool) {
+        if let Trouble::Slow(factor) = trouble {
+            self.pace.slow(factor, on);
+        } else if on {
+            self.troubles.push(trouble);
+        } else if let Some(at) = self.troubles.iter().position(|t| *t == trouble) {
+            self.troubles.swap_remove(at);
+        }
+    }
+
+    fn strongest(&self, of: impl Fn(&Trouble) -> Option<f64>) -> f64 {
+        self.troubles.iter().filter_map(of).fold(0.0, f64::max)
+    }
+
+    /// Whether it answers nothing at present.
+    pub fn hangs(&self) -> bool {
+        self.troubles.contains(&Trouble::Hang)
+    }
+
+    /// Whether the connection of a request that was just read breaks.
+    pub fn resets(&mut self, also: f64) -> bool {
+        let of = |t: &Trouble| if let Trouble::Resets(p) = t { Some(*p) } else { None };
+        let probability = self.strongest(of).max(also);
+        self.chance.random::<f64>() < probability
+    }
+
+    /// A request whose last byte has arrived. What is said of it is found in [`Machine::said`].
+    pub fn arrive(&mut self, now: u64, ask: Ask, effects: &mut Effects) -> Ticket {
+        self.advance(now, effects);
+        let ticket = self.next;
+        self.next += 1;
+        self.tally.attempts += 1;
+        self.press(now, ask.work as f64);
+        let of = |t: &Trouble| if let Trouble::FastErrors(p) = t { Some(*p) } else { None };
+        let error_rate = self.strongest(of).max(self.shape.kind.error_rate);
+        let free = self.in_slots < self.shape.kind.slots;
+        let mut job = Job { ask, stage: Stage::Waits, ran: false, called_off: false };
+        if self.draining {
+            self.turn_away(ticket, Said::Draining);
+        } else if self.hangs() {
+            job.stage = Stage::Swallowed;
+            self.jobs.insert(ticket, job);
+        } else if self.chance.random::<f64>() < error_rate {
+            self.said.push((ticket, Said::Error));
+        } else if free {
+            self.jobs.insert(ticket, job);
+            self.takes_slot(ticket);
+        } else if self.queue.len() < self.shape.kind.queue as usize {
+            self.jobs.insert(ticket, job);
+            self.queue.push_back(ticket);
+        } else {
+            self.turn_away(ticket, Said::Full);
+        }
+        self.settle(now, effects);
+        ticket
+    }
+
+    /// A request has left: it is answered, or the calls that it made have failed. False: nothing is to be said
+    /// of it, now or later.
+    pub fn leave(&mut self, now: u64, ticket: Ticket, served: bool, effects: &mut Effects) -> bool {
+        self.advance(now, effects);
+        if self.hangs() {
+            self.swallow(ticket);
+            self.settle(now, effects);
+            return false;
+        }
+        let Some(job) = self.jobs.remove(&ticket) else { return false };
+        if job.stage == Stage::Works {
+            self.in_slots -= 1;
+        }
+        if !served || job.called_off {
+            self.tally.wasted += job.ask.work as f64;
+        } else if let Some(reports) = &mut self.reports {
+            reports.served();
+        }
+        self.settle(now, effects);
+        !job.called_off
+    }
+
+    /// Whoever sent a request does not wait any more. True: what it has under way elsewhere is to stop too.
+    pub fn call_off(&mut self, now: u64, ticket: Ticket, effects: &mut Effects) -> bool {
+        self.advance(now, effects);
+        let Some(job) = self.jobs.get_mut(&ticket) else { return true };
+        job.called_off = true;
+        let begun = job.ran || self.running.contains_key(&ticket);
+        let stops = match (job.stage, self.shape.kind.cancel) {
+            (Stage::Swallowed, _) | (_, Cancel::Running) => true,
+            (_, Cancel::Queued) => !begun,
+            (_, Cancel::None) => false,
+        };
+        if stops {
+            self.abandon(now, ticket);
+            self.settle(now, effects);
+        }
+        stops
+    }
+
+    fn abandon(&mut self, now: u64, ticket: Ticket) {
+        let Some(job) = self.jobs.remove(&ticket) else { return };
+        match job.stage {
+            Stage::Waits => self.queue.retain(|t| *t != ticket),
+            Stage::Works => self.in_slots -= 1,
+            Stage::Swallowed => {}
+        }
+        self.for_core.retain(|(t, _)| *t != ticket);
+        if let Some(running) = self.running.remove(&ticket) {
+            let whole = ((running.ends - running.began) as f64).max(1.0);
+            let done = running.work * (now.saturating_sub(running.began) as f64 / whole).min(1.0);
+            self.tally.work += done;
+            self.tally.wasted += done;
+        } else if job.ran {
+            self.tally.wasted += job.ask.work as f64;
+        }
+    }
+
+    /// A probe, answered beside the queue.
+    pub fn probe(&mut self, now: u64, effects: &mut Effects) {
+        self.tally.probes += 1;
+        self.chore(now, self.shape.kind.probe_work.nanos(), effects);
+    }
+
+    /// A new connection. False: there are as many as it holds.
+    pub fn connect(&mut self, now: u64, effects: &mut Effects) -> bool {
+        self.advance(now, effects);
+        let spec = self.shape.kind.connections;
+        if spec.cap > 0 && self.connections >= u64::from(spec.cap) {
+            return false;
+        }
+        self.connections += 1;
+        self.tally.handshakes += 1;
+        self.tally.peak_connections = self.tally.peak_connections.max(self.connections);
+        self.chore(now, spec.handshake_work.nanos(), effects);
+        true
+    }
+
+    /// A connection has ended.
+    pub fn disconnect(&mut self, now: u64, effects: &mut Effects) {
+        self.advance(now, effects);
+        self.connections = self.connections.saturating_sub(1);
+    }
+
+    fn chore(&mut self, now: u64, work: u64, effects: &mut Effects) {
+        self.advance(now, effects);
+        self.press(now, work as f64);
+        if work > 0 {
+            self.for_core.push_back((self.next, work as f64));
+            self.next += 1;
+            self.settle(now, effects);
+        }
+    }
+
+    /// The load report that is told now, if it makes any.
+    pub fn report(&mut self, now: u64, effects: &mut Effects) -> Option<Figures> {
+        self.advance(now, effects);
+        let of = |t: &Trouble| if let Trouble::LateReports(ns) = t { Some(*ns) } else { None };
+        let later = self.troubles.iter().filter_map(of).max().unwrap_or(0);
+        self.reports.as_ref()?.told(now, later, &mut self.chance)
+    }
+
+    /// What was said since the last call, oldest first.
+    pub fn said(&mut self) -> Vec<(Ticket, Said)> {
+        std::mem::take(&mut self.said)
+    }
+
+    /// Whether it takes part in anything.
+    pub fn alive(&self) -> bool {
+        self.alive
+    }
+
+    /// Whether it fell over. Somebody has to [stop](Machine::stop) it then, for good.
+    pub fn fell_over(&self) -> bool {
+        self.tally.fell_over
+    }
+
+    /// Counts up to now.
+    pub fn tally(&mut self, now: u64, effects: &mut Effects) -> Tally {
+        self.advance(now, effects);
+        self.tally.clone()
+    }
+
+    /// Cores times speed, when warm and well.
+    pub fn capacity(&self) -> f64 {
+        f64::from(self.shape.kind.cores) * self.shape.speed
+    }
+
+    /// When something next happens by itself.
+    pub fn due(&self, now: u64) -> Option<u64> {
+        let ends = self.ends.peek().map(|Reverse((at, _))| *at);
+        [ends, self.pace.due(now)].into_iter().flatten().min().filter(|_| self.alive)
+    }
+
+    /// Lets everything happen that is due by now, in its order and each at its own time.
+    pub fn advance(&mut self, now: u64, effects: &mut Effects) {
+        let mut at = self.counted_until;
+        while let Some(due) = self.due(at).filter(|due| *due <= now) {
+            at = due;
+            self.note(due);
+            if let Some(length) = self.pace.pauses(due, &mut self.chance) {
+                self.running.values_mut().for_each(|r| r.ends += length);
+            }
+            while let Some(Reverse((_, ticket))) = self.ends.peek().copied().filter(|r| r.0.0 <= due) {
+                self.ends.pop();
+                self.ended(ticket, due);
+            }
+            self.settle(due, effects);
+        }
+        self.note(now);
+    }
+
+    /// A core's work on something ends, unless a pause has put that off.
+    fn ended(&mut self, ticket: Ticket, now: u64) {
+        let Some(ends) = self.running.get(&ticket).map(|r| r.ends) else { return };
+        if ends > now {
+            return self.ends.push(Reverse((ends, ticket)));
+        }
+        let Some(running) = self.running.remove(&ticket) else { return };
+        self.tally.work += running.work;
+        if let Some(job) = self.jobs.get_mut(&ticket) {
+            job.ran = true;
+            if self.hangs() {
+                self.swallow(ticket);
+            } else {
+                self.said.push((ticket, Said::Ran));
+            }
+        }
+    }
+
+    fn swallow(&mut self, ticket: Ticket) {
+        if let Some(job) = self.jobs.get_mut(&ticket)
+            && std::mem::replace(&mut job.stage, Stage::Swallowed) == Stage::Works
+        {
+            self.in_slots -= 1;
+        }
+    }
+
+    fn takes_slot(&mut self, ticket: Ticket) {
+        if let Some(job) = self.jobs.get_mut(&ticket) {
+            job.stage = Stage::Works;
+            self.in_slots += 1;
+            self.for_core.push_back((ticket, job.ask.work as f64));
+        }
+    }
+
+    fn turn_away(&mut self, ticket: Ticket, said: Said) {
+        self.tally.turned_away += 1;
+        self.said.push((ticket, said));
+    }
+
+    /// Gives free slots and cores to who waits for them. What begins says at once that it is over or known.
+    fn settle(&mut self, now: u64, effects: &mut Effects) {
+        loop {
+            while self.in_slots < self.shape.kind.slots {
+                let Some(ticket) = self.queue.pop_front() else { break };
+                self.takes_slot(ticket);
+            }
+            let has_core = self.running.len() < self.shape.kind.cores as usize && !self.pace.still(now);
+            let Some((ticket, work)) = has_core.then(|| self.for_core.pop_front()).flatten() else { break };
+            self.begins(now, ticket, work, effects);
+        }
+        self.pace.has(now, self.jobs.len());
+        self.tally.peak_requests = self.tally.peak_requests.max(self.jobs.len() as u64);
+    }
+
+    fn begins(&mut self, now: u64, ticket: Ticket, work: f64, effects: &mut Effects) {
+        if let Some(job) = self.jobs.get(&ticket) {
+            let over = job.ask.until.is_some_and(|until| until <= now);
+            let (zone, cell) = (self.shape.zone, self.shape.cell);
+            let mut known = || effects.begins(now, job.ask.class, job.ask.key.as_deref(), zone, cell);
+            if over || known() == Execution::Dropped {
+                self.jobs.remove(&ticket);
+                self.in_slots -= 1;
+                self.tally.turned_away += u64::from(over);
+                return self.said.push((ticket, if over { Said::Over } else { Said::Repeat }));
+            }
+        }
+        let ends = now + (work / self.pace.speed(now)) as u64;
+        self.running.insert(ticket, Running { work, began: now, ends });
+        self.ends.push(Reverse((ends, ticket)));
+    }
+
+    /// Work has reached it. Danger: what it turns away presses it too; only that makes a flood of a cold server
+    /// as harmful as it is.
+    fn press(&mut self, now: u64, work: f64) {
+        if !self.pace.is_cold(now) {
+            return;
+        }
+        let window = self.shape.rules.fall_window.nanos();
+        self.pressure.push_back((now, work));
+        while self.pressure.front().is_some_and(|(at, _)| at + window < now) {
+            self.pressure.pop_front();
+        }
+        let present = self.pace.speed(now) * f64::from(self.shape.kind.cores) * window as f64;
+        let pressed: f64 = self.pressure.iter().map(|(_, work)| work).sum();
+        self.tally.fell_over |= pressed > self.shape.rules.fall_multiple * present;
+    }
+
+    /// Enters what has held until now into reports and counts.
+    fn note(&mut self, now: u64) {
+        let busy = self.running.len() as f64 / f64::from(self.shape.kind.cores.max(1));
+        let state = Now { active: self.in_slots as usize, waiting: self.queue.len(), busy };
+        if let Some(reports) = &mut self.reports {
+            reports.advance(now, state);
+        }
+        self.count(now);
+    }
+
+    fn count(&mut self, now: u64) {
+        let passed = now.saturating_sub(self.counted_until);
+        if self.alive {
+            self.tally.uptime += passed;
+            self.tally.connection_time += self.connections as f64 * passed as f64;
+        }
+        self.counted_until = self.counted_until.max(now);
+    }
+}
