--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -6,8 +6,18 @@
 
 pub mod cast;
 pub mod chance;
+pub mod client;
+pub mod clock;
 pub mod effects;
 pub mod faults;
 pub mod protocol;
 pub mod registry;
 pub mod server;
+pub mod stream;
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// What a lock guards, also after a panic of somebody who held it: each change here is whole in itself.
+fn held<T>(lock: &Mutex<T>) -> MutexGuard<'_, T> {
+    lock.lock().unwrap_or_else(PoisonError::into_inner)
+}
