--- a/crates/lab/src/sockets/cast.rs
+++ b/crates/lab/src/sockets/cast.rs
@@ -1,15 +1,15 @@
 //! Who plays: every server of a scenario with its place, its machine and its speed.
 
 use super::chance::stream;
-use crate::scenario::{Scenario, Tier, Weights};
+use crate::scenario::{Scenario, Weights};
 use rand::Rng;
 
 /// One server.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Member {
-    /// Its tier, and its place there.
+    /// Its tier, as an index into the scenario's.
     pub tier: usize,
-    /// The latter.
+    /// Its place in the tier.
     pub index: usize,
     /// Its name; a replacement has another.
     pub id: String,
@@ -25,85 +25,56 @@
     pub weight: f64,
 }
 
-/// All servers by tier.
+/// All servers by tier. Speeds follow from the seed.
 pub fn cast(scenario: &Scenario, seed: u64) -> Vec<Vec<Member>> {
-    let zones = scenario.zones.len().max(1);
-    scenario.tier.iter().enumerate().map(|(number, tier)| cast_tier(number, tier, zones, seed)).collect()
+    (0..scenario.tier.len()).map(|tier| cast_tier(scenario, tier, seed)).collect()
 }
 
-/// Servers go to the zones in turn. In each zone the kinds and the cells are dealt out by themselves, so that
-/// no kind ends up in one zone only.
-fn cast_tier(number: usize, tier: &Tier, zones: usize, seed: u64) -> Vec<Member> {
-    let mut dealt = vec![vec![0u32; tier.kind.len()]; zones];
-    let cells_before = |zone: usize| match tier.cell_size as usize {
-        0 => zone,
-        size => (0..zone).map(|z| members_of(tier.servers as usize, zones, z).div_ceil(size)).sum(),
-    };
-    let member = |index: usize| {
-        let (zone, in_zone) = (index % zones, index / zones);
-        let kind = next_kind(tier, &mut dealt[zone]);
-        let cell = cells_before(zone) + in_zone.checked_div(tier.cell_size as usize).unwrap_or(0);
-        let of = &tier.kind[kind];
-        let [least, most] = of.speed;
+fn cast_tier(scenario: &Scenario, number: usize, seed: u64) -> Vec<Member> {
+    let tier = &scenario.tier[number];
+    let member = |(index, seat): (usize, crate::scenario::Seat)| {
+        let kind = &tier.kind[seat.kind];
+        let [least, most] = kind.speed;
         let speed = least + (most - least) * stream(seed, &tier.name, index as u64).random::<f64>();
-        let weight = match tier.weights {
-            Weights::None => 1.0,
-            Weights::Nominal => f64::from(of.cores) * (least + most) / 2.0,
-            Weights::True => f64::from(of.cores) * speed,
-        };
-        let id = format!("{}-{index}", tier.name);
-        Member { tier: number, index, id, zone, kind, cell: cell as u64, speed, weight }
+        Member {
+            tier: number,
+            index,
+            id: format!("{}-{index}", tier.name),
+            zone: seat.zone,
+            kind: seat.kind,
+            cell: seat.cell as u64,
+            speed,
+            weight: match tier.weights {
+                Weights::None => 1.0,
+                Weights::Nominal => f64::from(kind.cores) * kind.mean_speed(),
+                Weights::True => f64::from(kind.cores) * speed,
+            },
+        }
     };
-    (0..tier.servers as usize).map(member).collect()
-}
-
-fn members_of(servers: usize, zones: usize, zone: usize) -> usize {
-    servers / zones + usize::from(zone < servers % zones)
-}
-
-/// The kind that is farthest behind its share.
-fn next_kind(tier: &Tier, dealt: &mut [u32]) -> usize {
-    let behind = |kind: usize| f64::from(dealt[kind] + 1) / tier.kind[kind].share;
-    let next = (0..dealt.len()).min_by(|a, b| behind(*a).total_cmp(&behind(*b))).unwrap_or(0);
-    dealt[next] += 1;
-    next
+    scenario.layout(number).into_iter().enumerate().map(member).collect()
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
 
-    fn scenario(tiers: &str) -> Scenario {
-        let head = r#"version=1
+    #[test]
+    fn speeds_and_weights_are_those_of_the_kinds() {
+        let text = r#"version=1
             name="x"
             length="1s"
-            zones=["a","b"]
             class=[{name="v",aim="1s",deadline="2s",effect="repeatable",work={dist="fixed",mean="1ms"}}]
             clients={rate=1.0}
-            "#;
-        toml::from_str(&format!("{head}{tiers}")).unwrap()
-    }
-
-    #[test]
-    fn zones_kinds_and_cells_are_dealt_out_evenly() {
-        let fleet = scenario(
-            r#"[[tier]]
+            [[tier]]
             name="t"
             servers=10
-            cell_size=2
             weights="nominal"
-            kind=[{name="big",cores=4,share=1.0,speed=[1.0,2.0]},{name="small",cores=1,share=1.0}]"#,
-        );
-        let cast = cast(&fleet, 3);
-        let of = |zone: usize| cast[0].iter().filter(move |m| m.zone == zone);
-        for zone in 0..2 {
-            assert_eq!(of(zone).count(), 5);
-            assert!((2..=3).contains(&of(zone).filter(|m| m.kind == 0).count()));
-        }
-        let cells: Vec<u64> = of(0).chain(of(1)).map(|m| m.cell).collect();
-        assert_eq!(cells, [0, 0, 1, 1, 2, 3, 3, 4, 4, 5]);
-        assert!(cast[0].iter().all(|m| m.weight == if m.kind == 0 { 6.0 } else { 1.0 }));
-        assert!(cast[0].iter().all(|m| (1.0..=2.0).contains(&m.speed)));
-        assert_eq!(cast, super::cast(&fleet, 3));
+            kind=[{name="big",cores=4,speed=[1.0,2.0]},{name="small",cores=1}]"#;
+        let scenario = Scenario::parse("x", text).unwrap();
+        let members = cast(&scenario, 3);
+        assert!(members[0].iter().all(|m| m.weight == if m.kind == 0 { 6.0 } else { 1.0 }));
+        assert!(members[0].iter().filter(|m| m.kind == 0).all(|m| (1.0..2.0).contains(&m.speed)));
+        assert_ne!(members[0][0].speed, members[0][2].speed);
+        assert_eq!(members, cast(&scenario, 3));
     }
 }
--- a/crates/lab/src/sockets/faults.rs
+++ b/crates/lab/src/sockets/faults.rs
@@ -165,12 +165,12 @@
 
     fn zone(&self) -> Result<usize, FaultError> {
         let name = self.fault.zone.as_ref().ok_or(self.key("zone: missing"))?;
-        self.scenario.zones.iter().position(|z| z == name).ok_or(self.nobody())
+        self.scenario.zone_index(name).ok_or(self.nobody())
     }
 
-    /// A part of what it can touch, at least one, in their order.
+    /// As many as its part stands for of those that it can touch, in their order.
     fn part(&self, mut of: Vec<usize>) -> Result<Vec<usize>, FaultError> {
-        let many = ((of.len() as f64 * self.fault.part).round() as usize).clamp(1, of.len().max(1));
+        let many = self.fault.count(of.len());
         of.shuffle(&mut stream(self.seed, "fault", self.number as u64));
         of.truncate(many);
         of.sort_unstable();
@@ -179,16 +179,8 @@
 
     /// The tier, and the servers of it that it touches.
     fn servers(&self) -> Result<(usize, Vec<usize>), FaultError> {
-        let named = |name| self.scenario.tier.iter().position(|t| t.name == name);
-        let tier = self.fault.tier.as_deref().map_or(Some(0), named).ok_or(self.nobody())?;
-        let tier_is = &self.scenario.tier[tier];
-        let zone = self.fault.zone.as_ref();
-        let fits = |m: &&Member| {
-            zone.is_none_or(|z| *z == self.scenario.zones[m.zone])
-                && self.fault.machine.as_ref().is_none_or(|k| *k == tier_is.kind[m.kind].name)
-        };
-        let candidates = self.cast[tier].iter().filter(fits).map(|m| m.index).collect();
-        Ok((tier, self.part(candidates)?))
+        let tier = self.scenario.fault_tier(self.fault).ok_or(self.nobody())?;
+        Ok((tier, self.part(self.scenario.within_reach(self.fault))?))
     }
 
     fn names(&self, tier: usize, which: &[usize]) -> String {
@@ -233,12 +225,8 @@
     }
 
     fn proxies(&self) -> Result<Planned, FaultError> {
-        let zones = self.scenario.zones.len().max(1);
-        let proxies = self.scenario.tier.first().map_or(0, |t| t.proxies as usize);
-        let zone = self.fault.zone.as_ref().map(|_| self.zone()).transpose()?;
-        let candidates = (0..proxies).filter(|p| zone.is_none_or(|z| p % zones == z)).collect();
-        let which = self.part(candidates)?;
-        let touched = format!("{} of {proxies} first-tier proxies", which.len());
+        let which = self.part(self.scenario.within_reach(self.fault))?;
+        let touched = format!("{} first-tier proxies", which.len());
         Ok(self.window(&touched, |on| Change::ProxiesDown(which.clone(), on)))
     }
 }
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -5,6 +5,7 @@
 
 mod answer;
 mod backends;
+mod call;
 mod cli;
 mod clients;
 mod clock;
@@ -13,6 +14,7 @@
 mod driver;
 mod invariant;
 mod listen;
+mod membership;
 mod platform;
 mod reload;
 mod shutdown;
