--- /dev/null
+++ b/crates/lab/src/sockets/fleet/record.rs
@@ -0,0 +1,122 @@
+//! What a fleet has seen, for a run's result.
+
+use super::Fleet;
+use crate::run::result::{Second, Server, Totals, Window};
+use crate::scenario::Scenario;
+use crate::sockets::held;
+use std::sync::Mutex;
+
+/// What servers saw of a run.
+#[derive(Clone, Debug, Default)]
+pub struct Record {
+    /// Every server that there was.
+    pub servers: Vec<Server>,
+    /// Attempts by second since the begin: at the first tier, and at all tiers.
+    pub seconds: Vec<(u64, u64)>,
+    /// Executions with a key by tier and cell, after which those that came again had no effect.
+    pub effects: Vec<Vec<(u64, u64)>>,
+    /// Keys whose effect took place twice, over all tiers.
+    pub second_effects: u64,
+    /// Probes at all tiers.
+    pub probes: u64,
+    /// New connections at all tiers.
+    pub handshakes: u64,
+    /// Open connections of a server, mean over servers and time.
+    pub connections_per_server: f64,
+    /// Work done for which no answer could be given, over all work done.
+    pub wasted_work: f64,
+    /// What went wrong when.
+    pub faults: Vec<Window>,
+}
+
+/// Attempts by second.
+pub struct Counts {
+    begin: Mutex<Option<u64>>,
+    seconds: Mutex<Vec<(u64, u64)>>,
+}
+
+impl Counts {
+    /// For a run of the scenario's length; what comes after it is not counted.
+    pub fn new(scenario: &Scenario) -> Counts {
+        let seconds = scenario.length.nanos().div_ceil(1_000_000_000) as usize;
+        Counts { begin: Mutex::new(None), seconds: Mutex::new(vec![(0, 0); seconds]) }
+    }
+
+    /// The run begins.
+    pub fn begin(&self, now: u64) {
+        *held(&self.begin) = Some(now);
+    }
+
+    /// An attempt has arrived at a tier.
+    pub fn arrived(&self, now: u64, tier: usize) {
+        let Some(since) = (*held(&self.begin)).and_then(|begin| now.checked_sub(begin)) else { return };
+        if let Some(second) = held(&self.seconds).get_mut((since / 1_000_000_000) as usize) {
+            second.0 += u64::from(tier == 0);
+            second.1 += 1;
+        }
+    }
+}
+
+impl Record {
+    /// Enters what servers saw into a run's totals and seconds. `warm` seconds at the begin are not counted.
+    pub fn enter(&self, totals: &mut Totals, seconds: &mut [Second], warm: usize) {
+        for (second, (first, all)) in seconds.iter_mut().zip(&self.seconds) {
+            (second.attempts, second.attempts_all_tiers) = (*first, *all);
+        }
+        let counted = || self.seconds.iter().skip(warm);
+        totals.attempts = counted().map(|(first, _)| first).sum();
+        totals.attempts_all_tiers = counted().map(|(_, all)| all).sum();
+        totals.attempts_per_request = totals.attempts as f64 / totals.offered.max(1) as f64;
+        totals.probes = self.probes;
+        totals.handshakes = self.handshakes;
+        totals.connections_per_server = self.connections_per_server;
+        totals.wasted_work = self.wasted_work;
+        totals.second_effects = self.second_effects;
+    }
+}
+
+impl Fleet {
+    /// What the servers have seen so far.
+    pub fn record(&self) -> Record {
+        let mut record = Record { faults: self.windows(), ..Record::default() };
+        let (mut work, mut wasted, mut uptime, mut connections) = (0.0, 0.0, 0.0, 0.0);
+        let scenario = &self.shared.scenario;
+        for node in self.shared.all_nodes() {
+            let (tally, capacity) = node.tally();
+            let member = &node.member;
+            let tier = &scenario.tier[member.tier];
+            record.probes += tally.probes;
+            record.handshakes += tally.handshakes;
+            work += tally.work;
+            wasted += tally.wasted;
+            uptime += tally.uptime as f64;
+            connections += tally.connection_time;
+            let could = capacity * tally.uptime as f64;
+            record.servers.push(Server {
+                name: member.id.clone(),
+                tier: tier.name.clone(),
+                zone: scenario.zones[member.zone].clone(),
+                kind: tier.kind[member.kind].name.clone(),
+                capacity,
+                attempts: tally.attempts,
+                turned_away: tally.turned_away,
+                work_s: tally.work / 1e9,
+                utilization: if could > 0.0 { tally.work / could } else { 0.0 },
+                peak_requests: tally.peak_requests,
+                probes: tally.probes,
+                peak_connections: tally.peak_connections,
+                deaths: tally.deaths,
+                fell_over: tally.fell_over,
+            });
+        }
+        record.wasted_work = if work > 0.0 { wasted / work } else { 0.0 };
+        record.connections_per_server = if uptime > 0.0 { connections / uptime } else { 0.0 };
+        record.seconds = held(&self.shared.counts.seconds).clone();
+        for effects in &self.shared.effects {
+            let effects = held(effects);
+            record.second_effects += effects.twice();
+            record.effects.push(effects.by_cell().iter().map(|(cell, times)| (*cell, *times)).collect());
+        }
+        record
+    }
+}
--- a/crates/lab/src/sockets/server/machine.rs
+++ b/crates/lab/src/sockets/server/machine.rs
@@ -130,8 +130,8 @@
 }
 
 impl Machine {
-    /// A warm server that runs.
-    pub fn new(shape: Shape, chance: Chance) -> Machine {
+    /// A server that is warm and runs, or is not there yet.
+    pub fn new(shape: Shape, chance: Chance, up: bool) -> Machine {
         let kind = &shape.kind;
         let mut machine = Machine {
             pace: Pace::new(shape.speed, kind.cores, kind.cold, kind.crowd, kind.pause),
@@ -155,7 +155,9 @@
             said: Vec::new(),
             shape,
         };
-        machine.start(0, false);
+        if up {
+            machine.start(0, false);
+        }
         machine
     }
 
--- a/crates/lab/src/sockets/server/tests.rs
+++ b/crates/lab/src/sockets/server/tests.rs
@@ -17,7 +17,7 @@
     fn new(kind: &str) -> Bench {
         let kind: Kind = toml::from_str(&format!("name=\"k\"\n{kind}")).unwrap();
         let shape = Shape { kind, speed: 1.0, rules: Rules::default() };
-        Bench { machine: Machine::new(shape, stream(5, "server", 0)), said: Vec::new() }
+        Bench { machine: Machine::new(shape, stream(5, "server", 0), true), said: Vec::new() }
     }
 
     /// A request comes at a time, in milliseconds, with this much work.
