Take who plays and what goes wrong on sockets from the model's world

One seed now means the same servers, speeds and victims in virtual time and on sockets, and the draws and the timeline of faults exist once. The model's world, changes, verdicts and counts are public for it.

--- a/crates/lab/src/model/mod.rs
+++ b/crates/lab/src/model/mod.rs
@@ -16,7 +16,8 @@
 mod tally;
 mod world;
 
-pub use world::World;
+pub use message::{Change, Verdict};
+pub use world::{ServerSpec, World};
 
 use crate::engine::{Model, Outbox};
 use crate::run::result::{Breach, Held, Server as ServerResult};
@@ -29,7 +30,7 @@
 use olivecart_decisions::Nanos;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
-pub use tally::Tally;
+pub use tally::{End, Tally};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Servers whose figures are kept one by one; of more, the first.
--- a/crates/lab/src/sockets/fleet/discovery.rs
+++ b/crates/lab/src/sockets/fleet/discovery.rs
@@ -40,8 +40,7 @@
     alarm: Arc<Alarm>,
     boards: Vec<Board>,
     desk: Mutex<Desk>,
-    /// How many faults keep it down.
-    down: watch::Sender<u32>,
+    down: watch::Sender<bool>,
     patience: Duration,
     /// Whether it is silent, as seen from each zone.
     pub silences: Vec<Arc<Silence>>,
@@ -71,7 +70,7 @@
             alarm,
             boards: lists.into_iter().map(board).collect(),
             desk: Mutex::new(Desk::new(of.calls_per_s, of.timeout.nanos())),
-            down: watch::channel(0).0,
+            down: watch::channel(false).0,
             patience: of.timeout.duration(),
             silences,
         })
@@ -99,11 +98,11 @@
 
     /// It goes down with all watches, or comes back.
     pub fn down(&self, on: bool) {
-        self.down.send_modify(|down| *down = if on { *down + 1 } else { down.saturating_sub(1) });
+        self.down.send_replace(on);
     }
 
     fn is_down(&self) -> bool {
-        *self.down.borrow() > 0
+        *self.down.borrow()
     }
 
     /// Takes in what it has heard of by now, and comes back for the rest.
@@ -196,7 +195,7 @@
     /// The version that the other side has.
     at: u64,
     versions: watch::Receiver<u64>,
-    downs: watch::Receiver<u32>,
+    downs: watch::Receiver<bool>,
     begun: bool,
 }
 
@@ -216,7 +215,7 @@
             }
             tokio::select! {
                 biased;
-                _ = self.downs.wait_for(|down| *down > 0) => return None,
+                _ = self.downs.wait_for(|down| *down) => return None,
                 changed = self.versions.changed() => changed.ok()?,
                 () = tokio::time::sleep(WATCH_PERIOD) => return Some(Bytes::from_static(b"\n")),
             }
--- a/crates/lab/src/sockets/fleet/mod.rs
+++ b/crates/lab/src/sockets/fleet/mod.rs
@@ -13,18 +13,16 @@
 
 pub use record::Record;
 
-use super::cast::{self, Member};
-use super::chance::{Chance, Draw, Undrawable, stream};
+use super::chance::{Chance, stream};
 use super::client::Pool;
 use super::clock::{Alarm, Clock};
 use super::effects::Effects;
-use super::faults::{FaultError, Timeline, timeline};
 use super::held;
 use super::protocol::{Document, Line, State};
 use super::registry::Entry;
 use super::stream::{Door, Loopback};
-use crate::run::result::Window;
-use crate::scenario::{Class, Kind, Scenario};
+use crate::model::{ServerSpec, World};
+use crate::scenario::Kind;
 use discovery::Discovery;
 use futures_util::future::{BoxFuture, try_join_all};
 use node::Node;
@@ -45,12 +43,6 @@
     /// No socket, or no thread.
     #[error("the fleet cannot be set up: {0}")]
     Io(#[from] io::Error),
-    /// A fault of the scenario cannot be played.
-    #[error(transparent)]
-    Fault(#[from] FaultError),
-    /// A class's work cannot be drawn.
-    #[error("class {0}: {1}")]
-    Work(String, Undrawable),
     /// A proxy beside a server did not come up: which, and why.
     #[error("{0}")]
     Proxy(String),
@@ -65,35 +57,41 @@
     pub index: usize,
 }
 
-/// The proxies that live and die with a fleet.
+impl Place {
+    fn spec(self, world: &World) -> &ServerSpec {
+        &world.tiers[self.tier].servers[self.index]
+    }
+
+    fn kind(self, world: &World) -> &Kind {
+        world.kind(self.tier as u8, self.index as u32)
+    }
+
+    /// The number of its machine.
+    fn machine(self, world: &World) -> u32 {
+        self.spec(world).machine
+    }
+}
+
+/// The proxies that live and die with a fleet, by the number of their machine in its [`World`].
 pub trait Proxies: Send + Sync {
-    /// Starts the proxy beside a server, for its calls to the next tier, and waits until it is ready. An error
-    /// says why it is not.
-    fn start(&self, place: Place, id: &str, zone: usize) -> BoxFuture<'static, Result<SocketAddr, String>>;
-    /// The proxy beside a server dies with it. Silently: nobody is told, and its connections stay open.
-    fn dies(&self, place: Place, silently: bool);
-    /// First-tier proxies die, or new ones take their places.
-    fn fronts(&self, which: &[usize], up: bool);
-    /// The first-tier proxies of a zone vanish without a word, or new ones take their places.
-    fn zone(&self, zone: usize, up: bool);
+    /// Starts one, and waits until it is ready. An error says why it is not.
+    fn start(&self, machine: u32) -> BoxFuture<'static, Result<SocketAddr, String>>;
+    /// One dies with its machine. Silently: nobody is told, and its connections stay open until it starts again.
+    fn dies(&self, machine: u32, silently: bool);
 }
 
 /// What all servers share.
 struct Shared {
-    scenario: Scenario,
-    seed: u64,
+    world: Arc<World>,
     clock: Clock,
     alarm: Arc<Alarm>,
-    /// By class.
-    work: Vec<Draw>,
     /// By tier.
     effects: Vec<Mutex<Effects>>,
     counts: Counts,
     sidecars: Mutex<FxHashMap<Place, Arc<Pool>>>,
-    /// All servers that there were, by tier.
-    nodes: Vec<Mutex<Vec<Arc<Node>>>>,
+    /// All servers that there will be, by tier.
+    nodes: Vec<Vec<Arc<Node>>>,
     discovery: Arc<Discovery>,
-    net: Arc<Loopback>,
     tasks: Mutex<JoinSet<()>>,
     chance: Mutex<Chance>,
     /// What went wrong that no fault meant to.
@@ -101,21 +99,17 @@
 }
 
 impl Shared {
-    fn node(&self, place: Place) -> Arc<Node> {
-        held(&self.nodes[place.tier])[place.index].clone()
-    }
-
-    fn kind(&self, member: &Member) -> &Kind {
-        &self.scenario.tier[member.tier].kind[member.kind]
+    fn node(&self, place: Place) -> &Arc<Node> {
+        &self.nodes[place.tier][place.index]
     }
 
-    fn all_nodes(&self) -> Vec<Arc<Node>> {
-        self.nodes.iter().flat_map(|tier| held(tier).clone()).collect()
+    fn all_nodes(&self) -> impl Iterator<Item = &Arc<Node>> {
+        self.nodes.iter().flatten()
     }
 
     /// Whether a server calls another tier.
     fn calls_on(&self, place: Place) -> bool {
-        place.tier + 1 < self.scenario.tier.len()
+        place.tier + 1 < self.nodes.len()
     }
 
     fn sidecar(&self, place: Place) -> Option<Arc<Pool>> {
@@ -123,14 +117,22 @@
     }
 
     /// A request has run to its end.
-    fn took_place(&self, member: &Member, class: usize, key: Option<&str>) {
-        let effects = &self.effects[member.tier];
-        held(effects).ran(self.clock.now(), class, key, member.zone as u64, member.cell);
+    fn took_place(&self, node: &Node, class: usize, key: Option<&str>) {
+        let cell = node.place.spec(&self.world).cell;
+        held(&self.effects[node.place.tier]).ran(self.clock.now(), class, key, node.zone as u64, cell);
+    }
+
+    /// Whether the connection of a request that was just read breaks.
+    fn resets(&self, node: &Node) -> bool {
+        let (base, tier) = (self.world.scenario.network.reset_rate, node.place.tier as u8);
+        let since = self.counts.since_begin(self.clock.now());
+        let rate = since.map_or(base, |at| self.world.timeline.reset_rate(base, tier, at));
+        rate > 0.0 && node.draw(|chance| chance.random::<f64>()) < rate
     }
 
     /// Waits for as long as so many one-way trips between two zones take.
     async fn travels(&self, from: usize, to: usize, trips: u32) {
-        let network = &self.scenario.network;
+        let network = &self.world.scenario.network;
         let base = if from == to { network.same_zone } else { network.cross_zone }.nanos() as f64;
         let one = |chance: &mut Chance| base * (1.0 - network.jitter * (1.0 - chance.random::<f64>()).ln());
         let whole: f64 = {
@@ -157,17 +159,17 @@
 }
 
 /// How discovery lists a server.
-fn entry(scenario: &Scenario, clock: &Clock, node: &Node, state: State) -> Entry {
-    let member = &node.member;
+fn entry(world: &World, clock: &Clock, node: &Node, state: State) -> Entry {
+    let spec = node.place.spec(world);
     let started = node.started();
     let line = Line {
-        id: member.id.clone(),
+        id: spec.name.clone(),
         addr: String::new(),
-        zone: scenario.zones[member.zone].clone(),
-        kind: scenario.tier[member.tier].kind[member.kind].name.clone(),
-        cell: member.cell,
+        zone: world.scenario.zones[node.zone].clone(),
+        kind: node.place.kind(world).name.clone(),
+        cell: spec.cell,
         state,
-        weight: member.weight,
+        weight: spec.weight,
         started_ms: if started == 0 { 0 } else { clock.unix_ms(started) },
     };
     Entry { line, doors: node.doors.clone() }
@@ -175,27 +177,11 @@
 
 type Time = (Clock, Arc<Alarm>);
 
-/// A server with a door for each zone. It is warm and runs, or is not there yet.
-fn new_node(
-    scenario: &Scenario,
-    seed: u64,
-    net: &Loopback,
-    time: Time,
-    member: Member,
-    up: bool,
-) -> io::Result<(Arc<Node>, Vec<TcpListener>)> {
-    let listeners: Vec<TcpListener> =
-        scenario.zones.iter().map(|_| net.listen()).collect::<io::Result<_>>()?;
-    let doors = listeners.iter().map(TcpListener::local_addr).collect::<io::Result<_>>()?;
-    Ok((Node::new((scenario, seed), member, up, doors, time), listeners))
-}
-
 /// Servers and discovery that run. Dropped, they are gone.
 pub struct Fleet {
     shared: Arc<Shared>,
     /// Where discovery is, by tier and zone.
     discovery: Vec<Vec<SocketAddr>>,
-    timeline: Timeline,
     proxies: Option<Arc<dyn Proxies>>,
 }
 
@@ -204,43 +190,42 @@
     /// another tier need [`Fleet::attach`] first.
     ///
     /// # Errors
-    /// The scenario cannot be played, or there are no sockets for it.
-    pub fn start(scenario: &Scenario, seed: u64, net: Arc<Loopback>) -> Result<Fleet, FleetError> {
-        let members = cast::cast(scenario, seed);
-        let timeline = timeline(scenario, &members, seed)?;
+    /// There are no sockets for it.
+    pub fn start(world: Arc<World>, net: &Loopback) -> Result<Fleet, FleetError> {
         let time: Time = (Clock::start(), Arc::new(Alarm::start()?));
-        let mut tiers = Vec::new();
-        for tier in members {
-            let node = |member| new_node(scenario, seed, &net, time.clone(), member, true);
-            tiers.push(tier.into_iter().map(node).collect::<io::Result<Vec<_>>>()?);
+        let zones = world.scenario.zones.len();
+        let (mut nodes, mut lists, mut open) = (Vec::new(), Vec::new(), Vec::new());
+        for (tier, spec) in world.tiers.iter().enumerate() {
+            let (mut of_tier, mut list) = (Vec::new(), Vec::new());
+            for (index, spec) in spec.servers.iter().enumerate() {
+                let listeners = (0..zones).map(|_| net.listen()).collect::<io::Result<Vec<_>>>()?;
+                let doors = listeners.iter().map(TcpListener::local_addr).collect::<io::Result<_>>()?;
+                let node = Node::new(&world, Place { tier, index }, doors, time.clone());
+                if spec.first {
+                    list.push(entry(&world, &time.0, &node, State::Ready));
+                    open.push((node.clone(), listeners));
+                }
+                of_tier.push(node);
+            }
+            nodes.push(of_tier);
+            lists.push(list);
         }
-        let list = |tier: &Vec<(Arc<Node>, _)>| {
-            tier.iter().map(|(node, _)| entry(scenario, &time.0, node, State::Ready)).collect()
-        };
-        let lists = tiers.iter().map(list).collect();
-        let nodes = |tier: &Vec<(Arc<Node>, _)>| Mutex::new(tier.iter().map(|(n, _)| n.clone()).collect());
-        let work = |c: &Class| Draw::new(&c.work).map_err(|e| FleetError::Work(c.name.clone(), e));
         let shared = Arc::new(Shared {
-            scenario: scenario.clone(),
-            seed,
             clock: time.0,
             alarm: time.1.clone(),
-            work: scenario.class.iter().map(work).collect::<Result<_, _>>()?,
-            effects: tiers.iter().map(|_| Mutex::new(Effects::new(&scenario.class))).collect(),
-            counts: Counts::new(scenario),
+            effects: world.tiers.iter().map(|_| Mutex::new(Effects::new(&world.scenario.class))).collect(),
+            counts: Counts::new(&world.scenario),
             sidecars: Mutex::default(),
-            nodes: tiers.iter().map(nodes).collect(),
-            discovery: Discovery::new(time, lists, scenario),
-            net,
+            nodes,
+            discovery: Discovery::new(time, lists, &world.scenario),
             tasks: Mutex::default(),
-            chance: Mutex::new(stream(seed, "network", 0)),
+            chance: Mutex::new(stream(world.seed, "network", 0)),
             troubles: Mutex::default(),
+            world,
         });
-        for (node, listeners) in tiers.into_iter().flatten() {
-            shared.open(&node, listeners);
-        }
-        let discovery = open_discovery(&shared)?;
-        Ok(Fleet { shared, discovery, timeline, proxies: None })
+        open.into_iter().for_each(|(node, listeners)| shared.open(&node, listeners));
+        let discovery = open_discovery(&shared, net)?;
+        Ok(Fleet { shared, discovery, proxies: None })
     }
 
     /// Starts the proxies beside all servers that call another tier.
@@ -248,8 +233,8 @@
     /// # Errors
     /// One of them does not come up.
     pub async fn attach(&mut self, proxies: Arc<dyn Proxies>) -> Result<(), FleetError> {
-        let nodes = self.shared.all_nodes();
-        let each = nodes.iter().map(|node| play::beside(&self.shared, Some(&*proxies), node));
+        let there = self.shared.all_nodes().filter(|node| node.alive());
+        let each = there.map(|node| play::beside(&self.shared, Some(&*proxies), node));
         try_join_all(each).await.map_err(FleetError::Proxy)?;
         self.proxies = Some(proxies);
         Ok(())
@@ -261,7 +246,7 @@
         let begin = now + at.saturating_duration_since(Instant::now()).as_nanos() as u64;
         self.shared.counts.begin(begin);
         let player = Player::new(self.shared.clone(), self.proxies.clone());
-        self.shared.spawn(player.play(begin, self.timeline.steps.clone()));
+        self.shared.spawn(player.play(begin));
     }
 
     /// Where discovery tells of a tier's servers, for proxies in a zone.
@@ -274,43 +259,40 @@
         self.shared.discovery.list(tier, zone)
     }
 
-    /// Names and addresses of a tier's servers, as seen from a zone; replaced ones included.
+    /// Names and addresses of a tier's servers, as seen from a zone; those of later deploys included.
     pub fn servers(&self, tier: usize, zone: usize) -> Vec<(String, SocketAddr)> {
-        held(&self.shared.nodes[tier]).iter().map(|n| (n.member.id.clone(), n.doors[zone])).collect()
+        self.shared.nodes[tier].iter().map(|node| (node.name.clone(), node.doors[zone])).collect()
     }
 
-    /// Who does not run at present.
+    /// Who has run and does not at present.
     pub fn down(&self) -> Vec<String> {
-        let nodes = self.shared.all_nodes();
-        nodes.iter().filter(|node| !node.alive()).map(|node| node.member.id.clone()).collect()
+        let gone = |node: &&Arc<Node>| !node.alive() && node.tally().0.uptime > 0;
+        self.shared.all_nodes().filter(gone).map(|node| node.name.clone()).collect()
     }
 
     /// What went wrong that no fault meant to.
     pub fn troubles(&self) -> Vec<String> {
         held(&self.shared.troubles).clone()
     }
-
-    fn windows(&self) -> Vec<Window> {
-        self.timeline.windows.clone()
-    }
 }
 
 impl Drop for Fleet {
     fn drop(&mut self) {
-        self.shared.all_nodes().iter().for_each(|node| node.ends());
+        self.shared.all_nodes().for_each(|node| node.ends());
         held(&self.shared.tasks).abort_all();
     }
 }
 
 /// Opens a door to discovery for each tier and zone.
-fn open_discovery(shared: &Arc<Shared>) -> io::Result<Vec<Vec<SocketAddr>>> {
+fn open_discovery(shared: &Arc<Shared>, net: &Loopback) -> io::Result<Vec<Vec<SocketAddr>>> {
     let mut doors = Vec::new();
-    for tier in 0..shared.scenario.tier.len() {
+    for tier in 0..shared.nodes.len() {
         let mut of_tier = Vec::new();
-        for zone in 0..shared.scenario.zones.len() {
-            let listener = shared.net.listen()?;
+        for silence in &shared.discovery.silences {
+            let listener = net.listen()?;
+            let zone = of_tier.len();
             of_tier.push(listener.local_addr()?);
-            let door = Door::new(listener, shared.discovery.silences[zone].clone());
+            let door = Door::new(listener, silence.clone());
             shared.spawn(shared.discovery.clone().take(door, tier, zone));
         }
         doors.push(of_tier);
--- a/crates/lab/src/sockets/fleet/node.rs
+++ b/crates/lab/src/sockets/fleet/node.rs
@@ -1,17 +1,16 @@
 //! One server on sockets: its machine under a lock, and a timer for what happens there by itself.
 
-use super::Place;
-use crate::scenario::Scenario;
-use crate::sockets::cast::Member;
+use super::{Place, Time};
+use crate::model::{Change, World};
 use crate::sockets::chance::{Chance, stream};
 use crate::sockets::clock::{Alarm, Clock};
-use crate::sockets::faults::Trouble;
 use crate::sockets::held;
 use crate::sockets::server::{Ask, Figures, Machine, Said, Shape, Tally, Ticket};
 use crate::sockets::stream::Silence;
 use rand::Rng;
 use rustc_hash::FxHashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use tokio::sync::{oneshot, watch};
 
@@ -28,12 +27,17 @@
 
 /// One server.
 pub struct Node {
-    /// Who it is.
-    pub member: Member,
+    /// Which it is.
+    pub place: Place,
+    /// Its name.
+    pub name: String,
+    /// Its zone.
+    pub zone: usize,
     /// Where it is, as seen from each zone.
     pub doors: Vec<SocketAddr>,
     /// Whether it is silent, as seen from each zone.
     pub silences: Vec<Arc<Silence>>,
+    vanished: AtomicBool,
     /// When its present life began; 0: long ago.
     started: Mutex<u64>,
     inner: Mutex<Inner>,
@@ -45,35 +49,37 @@
 
 impl Node {
     /// A server that is warm and runs, or is not there yet.
-    pub fn new(
-        (scenario, seed): (&Scenario, u64),
-        member: Member,
-        up: bool,
-        doors: Vec<SocketAddr>,
-        (clock, alarm): (Clock, Arc<Alarm>),
-    ) -> Arc<Node> {
-        let kind = scenario.tier[member.tier].kind[member.kind].clone();
-        let shape = Shape { kind, speed: member.speed, rules: scenario.rules.clone() };
-        let chance = |purpose| stream(seed, purpose, (member.tier << 32 | member.index) as u64);
+    pub fn new(world: &World, place: Place, doors: Vec<SocketAddr>, (clock, alarm): Time) -> Arc<Node> {
+        let spec = place.spec(world);
+        let (kind, rules) = (place.kind(world).clone(), world.scenario.rules.clone());
+        let shape = Shape { kind, speed: spec.speed, rules };
+        let chance = |purpose| stream(world.seed, purpose, spec.machine.into());
         let inner = Inner {
-            machine: Machine::new(shape, chance("machine"), up),
+            machine: Machine::new(shape, chance("machine"), spec.first),
             waiting: FxHashMap::default(),
             alarm: None,
             chance: chance("node"),
         };
         let silences = doors.iter().map(|_| Arc::default()).collect();
         let (inner, life) = (Mutex::new(inner), watch::channel(1).0);
-        let node = Node { member, doors, silences, started: Mutex::new(0), inner, life, clock, alarm };
-        let node = Arc::new(node);
+        let (name, zone, started) = (spec.name.clone(), spec.zone as usize, Mutex::new(0));
+        let node = Arc::new(Node {
+            place,
+            name,
+            zone,
+            doors,
+            silences,
+            vanished: AtomicBool::new(false),
+            started,
+            inner,
+            life,
+            clock,
+            alarm,
+        });
         node.with(|_, _| ());
         node
     }
 
-    /// Where it is in the scenario.
-    pub fn place(&self) -> Place {
-        Place { tier: self.member.tier, index: self.member.index }
-    }
-
     /// When its present life began, since the start; 0: long ago.
     pub fn started(&self) -> u64 {
         *held(&self.started)
@@ -173,12 +179,7 @@
         self.with(|machine, now| machine.report(now))
     }
 
-    /// Whether the connection of a request that was just read breaks.
-    pub fn resets(self: &Arc<Node>, also: f64) -> bool {
-        self.with(|machine, _| machine.resets(also))
-    }
-
-    /// A number from 0 to 1, or a key.
+    /// Draws something by its own chance.
     pub fn draw<T>(&self, draw: impl FnOnce(&mut Chance) -> T) -> T {
         draw(&mut held(&self.inner).chance)
     }
@@ -189,14 +190,9 @@
         sure as u32 + u32::from(self.draw(|chance| chance.random::<f64>()) < mean - sure)
     }
 
-    /// A trouble begins or ends.
-    pub fn trouble(self: &Arc<Node>, trouble: Trouble, on: bool) {
-        self.with(|machine, now| machine.trouble(now, trouble, on));
-    }
-
-    /// It takes nothing new from now on.
-    pub fn drain(self: &Arc<Node>) {
-        self.with(|machine, _| machine.drain());
+    /// Something about it changes, but for its death and its start.
+    pub fn change(self: &Arc<Node>, change: Change) {
+        self.with(|machine, now| machine.change(now, change));
     }
 
     /// Its process dies. What it held stays open where nobody is told; see [`Node::ends`].
@@ -205,6 +201,16 @@
         held(&self.inner).waiting.clear();
     }
 
+    /// Its machine vanishes without a word, or is back.
+    pub fn vanishes(&self, has: bool) {
+        self.vanished.store(has, Ordering::SeqCst);
+    }
+
+    /// Whether its machine has vanished.
+    pub fn has_vanished(&self) -> bool {
+        self.vanished.load(Ordering::SeqCst)
+    }
+
     /// All that belongs to its present life ends: connections are reset.
     pub fn ends(&self) {
         self.life.send_modify(|life| *life += 1);
--- a/crates/lab/src/sockets/fleet/play.rs
+++ b/crates/lab/src/sockets/fleet/play.rs
@@ -1,13 +1,12 @@
-//! Plays the timeline of what goes wrong.
+//! Plays what goes wrong, when it is due.
 
 use super::node::Node;
-use super::{Place, Proxies, Shared, discovery, new_node};
+use super::{Place, Proxies, Shared, discovery, entry};
+use crate::model::{Change, World};
 use crate::sockets::client::Pool;
-use crate::sockets::faults::{Change, Step, Trouble};
 use crate::sockets::held;
 use crate::sockets::protocol::State;
 use crate::sockets::stream::listen;
-use rustc_hash::FxHashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,148 +17,133 @@
 /// Connections that a server keeps to the proxy beside it.
 const CALLS: usize = 1024;
 
-/// Who is where at present, and what is wrong with it.
+/// One thing that happens.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// To a machine.
+    Machine(u32, Change),
+    /// A zone is cut off, or no longer.
+    Cut,
+    /// Discovery goes down, or comes back.
+    Outage(bool),
+    /// Discovery hears nothing, or hears again.
+    Stale(bool),
+}
+
+/// All that happens, by time. What ends at an instant comes before what begins then.
+fn steps(world: &World) -> Vec<(u64, Step)> {
+    let timeline = &world.timeline;
+    let of = |(machine, changes): (u32, &Vec<(u64, Change)>)| {
+        changes.iter().map(move |(at, change)| (*at, Step::Machine(machine, *change))).collect::<Vec<_>>()
+    };
+    let mut steps: Vec<(u64, Step)> = (0..).zip(&timeline.changes).flat_map(of).collect();
+    for (cut, _) in &timeline.cuts {
+        steps.extend([(cut.to, Step::Cut), (cut.from, Step::Cut)]);
+    }
+    for outage in &timeline.outages {
+        steps.extend([(outage.to, Step::Outage(false)), (outage.from, Step::Outage(true))]);
+    }
+    for stale in &timeline.stale {
+        steps.extend([(stale.to, Step::Stale(false)), (stale.from, Step::Stale(true))]);
+    }
+    steps.sort_by_key(|(at, _)| *at);
+    steps
+}
+
+/// Whoever plays it.
 pub struct Player {
     shared: Arc<Shared>,
     proxies: Option<Arc<dyn Proxies>>,
-    /// Who has the place of whom: a server of the scenario, and the one that replaced it.
-    now: FxHashMap<Place, Place>,
-    /// By server of the scenario: reasons why it is dead.
-    dead: FxHashMap<Place, u32>,
-    /// By zone: times that it is lost, and times that it is cut off.
-    lost: Vec<u32>,
-    apart: Vec<u32>,
+    /// The time of the present step, in the scenario's count.
+    at: u64,
 }
 
 impl Player {
-    /// Nothing is wrong yet.
+    /// Nothing has happened yet.
     pub fn new(shared: Arc<Shared>, proxies: Option<Arc<dyn Proxies>>) -> Player {
-        let zones = shared.scenario.zones.len();
-        let (now, dead) = (FxHashMap::default(), FxHashMap::default());
-        Player { shared, proxies, now, dead, lost: vec![0; zones], apart: vec![0; zones] }
+        Player { shared, proxies, at: 0 }
     }
 
-    /// Plays all steps, counted from a time.
-    pub async fn play(mut self, begin: u64, steps: Vec<Step>) {
-        for step in steps {
-            let at = self.shared.clock.instant(begin + step.at);
-            self.shared.alarm.until(at).await;
-            self.change(step.change);
+    /// Plays all of it, counted from a time.
+    pub async fn play(mut self, begin: u64) {
+        for (at, step) in steps(&self.shared.world) {
+            self.shared.alarm.until(self.shared.clock.instant(begin + at)).await;
+            self.at = at;
+            match step {
+                Step::Machine(machine, change) => self.machine(machine, change),
+                Step::Cut => self.silence(),
+                Step::Outage(on) => self.shared.discovery.down(on),
+                Step::Stale(on) => self.shared.discovery.deaf(on),
+            }
         }
     }
 
-    fn node(&self, tier: usize, index: usize) -> Arc<Node> {
-        let place = Place { tier, index };
-        self.shared.node(*self.now.get(&place).unwrap_or(&place))
-    }
-
-    fn change(&mut self, change: Change) {
+    fn machine(&self, number: u32, change: Change) {
+        let Some((tier, slot)) = self.shared.world.machines[number as usize].server else {
+            return self.front(number, change);
+        };
+        let node = self.shared.node(Place { tier: tier as usize, index: slot as usize });
         match change {
-            Change::Trouble { at: (tier, index), trouble: Trouble::Crash, on } => {
-                self.dead(Place { tier, index }, on, false);
-            }
-            Change::Trouble { at: (tier, index), trouble, on } => self.node(tier, index).trouble(trouble, on),
-            Change::Drain(tier, index) => {
-                let node = self.node(tier, index);
-                node.drain();
-                self.tell(&node, State::Draining);
-            }
-            Change::Replace(tier, index) => self.replace(Place { tier, index }),
-            Change::DiscoveryDown(on) => self.shared.discovery.down(on),
-            Change::Stale(on) => self.shared.discovery.deaf(on),
-            Change::ZoneLost(zone, on) => self.zone_lost(zone, on),
-            Change::ZoneApart(zone, on) => {
-                count(&mut self.apart[zone], on);
+            Change::Die { silent } => self.dies(&node, silent),
+            Change::Start if !node.fell_over() => {
+                node.vanishes(false);
+                node.ends(); // what a silent death has left open
                 self.silence();
+                let (shared, proxies, node) = (self.shared.clone(), self.proxies.clone(), node.clone());
+                self.shared.spawn(async move { comes_up(&shared, proxies.as_deref(), &node).await });
             }
-            Change::ProxiesDown(which, on) => {
-                if let Some(proxies) = &self.proxies {
-                    proxies.fronts(&which, !on);
-                }
+            Change::Start => {}
+            Change::Drain => {
+                node.change(change);
+                self.tell(&node, State::Draining);
             }
+            _ => node.change(change),
         }
     }
 
-    fn tell(&self, node: &Node, state: State) {
-        let entry = super::entry(&self.shared.scenario, &self.shared.clock, node, state);
-        self.shared.discovery.report(node.member.tier, entry);
-    }
-
-    /// A server dies, or comes back cold. Silently: its connections stay open until then.
-    fn dead(&mut self, place: Place, on: bool, silently: bool) {
-        let times = self.dead.entry(place).or_default();
-        count(times, on);
-        let node = self.node(place.tier, place.index);
-        match (on, self.dead[&place]) {
-            (true, 1) => self.kill(&node, silently),
-            (false, 0) => self.revive(&node),
-            _ => {}
-        }
-    }
-
-    fn kill(&self, node: &Arc<Node>, silently: bool) {
+    fn dies(&self, node: &Arc<Node>, silently: bool) {
         node.dies();
-        if !silently {
+        if silently {
+            node.vanishes(true);
+            self.silence();
+        } else {
             node.ends();
         }
-        held(&self.shared.sidecars).remove(&node.place());
-        if let Some(proxies) = self.proxies.as_ref().filter(|_| self.shared.calls_on(node.place())) {
-            proxies.dies(node.place(), silently);
+        held(&self.shared.sidecars).remove(&node.place);
+        if let Some(proxies) = self.proxies.as_ref().filter(|_| self.shared.calls_on(node.place)) {
+            proxies.dies(node.place.machine(&self.shared.world), silently);
         }
         self.tell(node, State::Gone);
     }
 
-    fn revive(&self, node: &Arc<Node>) {
-        node.ends(); // what a silent death has left open
-        if !node.fell_over() {
-            let (shared, proxies, node) = (self.shared.clone(), self.proxies.clone(), node.clone());
-            self.shared.spawn(async move {
-                let listeners = listen_again(&node.doors).await;
-                comes_up(&shared, proxies.as_deref(), &node, listeners).await;
-            });
+    /// A first-tier proxy.
+    fn front(&self, number: u32, change: Change) {
+        let Some(proxies) = &self.proxies else { return };
+        match change {
+            Change::Die { silent } => proxies.dies(number, silent),
+            Change::Start => {
+                let (starts, shared) = (proxies.start(number), self.shared.clone());
+                self.shared.spawn(async move {
+                    if let Err(what) = starts.await {
+                        held(&shared.troubles).push(what);
+                    }
+                });
+            }
+            _ => {}
         }
     }
 
-    /// A new server with another name takes a place.
-    fn replace(&mut self, place: Place) {
-        let old = self.node(place.tier, place.index);
-        self.kill(&old, false);
-        let index = held(&self.shared.nodes[place.tier]).len();
-        let mut member = old.member.clone();
-        (member.index, member.id) =
-            (index, format!("{}-{index}", self.shared.scenario.tier[place.tier].name));
-        let time = (self.shared.clock, self.shared.alarm.clone());
-        let new = new_node(&self.shared.scenario, self.shared.seed, &self.shared.net, time, member, false);
-        let Ok((node, listeners)) = new else { return }; // no socket is left: the place stays empty
-        held(&self.shared.nodes[place.tier]).push(node.clone());
-        self.now.insert(place, node.place());
-        self.silence();
-        let (shared, proxies) = (self.shared.clone(), self.proxies.clone());
-        self.shared.spawn(async move { comes_up(&shared, proxies.as_deref(), &node, listeners).await });
-    }
-
-    fn zone_lost(&mut self, zone: usize, on: bool) {
-        count(&mut self.lost[zone], on);
-        self.silence();
-        let scenario = self.shared.scenario.clone();
-        for tier in 0..scenario.tier.len() {
-            let seats = scenario.layout(tier);
-            for index in (0..seats.len()).filter(|index| seats[*index].zone == zone) {
-                self.dead(Place { tier, index }, on, true);
-            }
-        }
-        if let Some(proxies) = &self.proxies {
-            proxies.zone(zone, !on);
-        }
+    fn tell(&self, node: &Node, state: State) {
+        let entry = entry(&self.shared.world, &self.shared.clock, node, state);
+        self.shared.discovery.report(node.place.tier, entry);
     }
 
     /// Sets who says nothing to whom.
     fn silence(&self) {
-        let joined = |a: usize, b: usize| a == b || self.apart[a] == 0 && self.apart[b] == 0;
+        let joined = |a: usize, b: usize| self.shared.world.timeline.joined(a as u16, b as u16, self.at);
         for node in self.shared.all_nodes() {
-            let its = node.member.zone;
             for (zone, silence) in node.silences.iter().enumerate() {
-                silence.set(self.lost[its] > 0 || !joined(its, zone));
+                silence.set(node.has_vanished() || !joined(node.zone, zone));
             }
         }
         for (zone, silence) in self.shared.discovery.silences.iter().enumerate() {
@@ -168,10 +152,6 @@
     }
 }
 
-fn count(times: &mut u32, on: bool) {
-    *times = if on { *times + 1 } else { times.saturating_sub(1) };
-}
-
 /// Listens where a server listened before; its old listeners may still be closing.
 async fn listen_again(doors: &[SocketAddr]) -> Vec<TcpListener> {
     let mut listeners = Vec::new();
@@ -186,32 +166,25 @@
     listeners
 }
 
-/// A server comes up with the proxy beside it, and discovery is told.
-pub async fn comes_up(
-    shared: &Arc<Shared>,
-    proxies: Option<&dyn Proxies>,
-    node: &Arc<Node>,
-    listeners: Vec<TcpListener>,
-) {
+/// A server comes up cold with the proxy beside it, and discovery is told.
+async fn comes_up(shared: &Arc<Shared>, proxies: Option<&dyn Proxies>, node: &Arc<Node>) {
+    let listeners = listen_again(&node.doors).await;
     if let Err(what) = beside(shared, proxies, node).await {
         held(&shared.troubles).push(what);
     }
     node.starts();
     shared.open(node, listeners);
-    let entry = super::entry(&shared.scenario, &shared.clock, node, State::Ready);
-    shared.discovery.report(node.member.tier, entry);
+    shared.discovery.report(node.place.tier, entry(&shared.world, &shared.clock, node, State::Ready));
 }
 
-/// Starts the proxy beside a server, if it calls anybody.
+/// Starts the proxy beside a server, if it calls anybody. An error says why there is none.
 pub async fn beside(
     shared: &Arc<Shared>,
     proxies: Option<&dyn Proxies>,
     node: &Arc<Node>,
 ) -> Result<(), String> {
-    let Some(proxies) = proxies.filter(|_| shared.calls_on(node.place())) else { return Ok(()) };
-    let started = proxies.start(node.place(), &node.member.id, node.member.zone).await;
-    let addr =
-        started.map_err(|what| format!("the proxy beside {} did not come up: {what}", node.member.id))?;
-    held(&shared.sidecars).insert(node.place(), Arc::new(Pool::new(addr, CALLS)));
+    let Some(proxies) = proxies.filter(|_| shared.calls_on(node.place)) else { return Ok(()) };
+    let addr = proxies.start(node.place.machine(&shared.world)).await?;
+    held(&shared.sidecars).insert(node.place, Arc::new(Pool::new(addr, CALLS)));
     Ok(())
 }
--- a/crates/lab/src/sockets/fleet/record.rs
+++ b/crates/lab/src/sockets/fleet/record.rs
@@ -47,9 +47,14 @@
         *held(&self.begin) = Some(now);
     }
 
+    /// How long ago the run began, if it has.
+    pub fn since_begin(&self, now: u64) -> Option<u64> {
+        (*held(&self.begin)).and_then(|begin| now.checked_sub(begin))
+    }
+
     /// An attempt has arrived at a tier.
     pub fn arrived(&self, now: u64, tier: usize) {
-        let Some(since) = (*held(&self.begin)).and_then(|begin| now.checked_sub(begin)) else { return };
+        let Some(since) = self.since_begin(now) else { return };
         if let Some(second) = held(&self.seconds).get_mut((since / 1_000_000_000) as usize) {
             second.0 += u64::from(tier == 0);
             second.1 += 1;
@@ -78,13 +83,14 @@
 impl Fleet {
     /// What the servers have seen so far.
     pub fn record(&self) -> Record {
-        let mut record = Record { faults: self.windows(), ..Record::default() };
+        let mut record = Record { faults: self.shared.world.timeline.windows.clone(), ..Record::default() };
         let (mut work, mut wasted, mut uptime, mut connections) = (0.0, 0.0, 0.0, 0.0);
-        let scenario = &self.shared.scenario;
+        let world = &self.shared.world;
         for node in self.shared.all_nodes() {
             let (tally, capacity) = node.tally();
-            let member = &node.member;
-            let tier = &scenario.tier[member.tier];
+            if tally.uptime == 0 {
+                continue; // of a deploy that is still to come
+            }
             record.probes += tally.probes;
             record.handshakes += tally.handshakes;
             work += tally.work;
@@ -93,10 +99,10 @@
             connections += tally.connection_time;
             let could = capacity * tally.uptime as f64;
             record.servers.push(Server {
-                name: member.id.clone(),
-                tier: tier.name.clone(),
-                zone: scenario.zones[member.zone].clone(),
-                kind: tier.kind[member.kind].name.clone(),
+                name: node.name.clone(),
+                tier: world.scenario.tier[node.place.tier].name.clone(),
+                zone: world.scenario.zones[node.zone].clone(),
+                kind: node.place.kind(world).name.clone(),
                 capacity,
                 attempts: tally.attempts,
                 turned_away: tally.turned_away,
--- a/crates/lab/src/sockets/fleet/serve.rs
+++ b/crates/lab/src/sockets/fleet/serve.rs
@@ -90,9 +90,10 @@
 
     async fn connection(self, line: Line) {
         let counted = self.node.connect().then(|| Counted(self.node.clone()));
-        let (has_room, connections) = (counted.is_some(), self.shared.kind(&self.node.member).connections);
+        let (has_room, connections) =
+            (counted.is_some(), self.node.place.kind(&self.shared.world).connections);
         let trips = connections.handshake_rtts * 2;
-        self.shared.travels(self.node.member.zone, self.zone, trips).await;
+        self.shared.travels(self.node.zone, self.zone, trips).await;
         let (idle, use_of) = (connections.idle.duration(), Arc::new(Use::new()));
         let caller = Arc::new(self);
         let service = service_fn(|request: Request<Incoming>| {
@@ -113,7 +114,7 @@
     }
 
     async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Reply {
-        let probes = self.shared.scenario.limits.probes;
+        let probes = self.shared.world.scenario.limits.probes;
         let is_probe = request.method() == Method::GET && matches!(request.uri().path(), LIVE | STATS);
         if is_probe {
             return if probes {
@@ -133,15 +134,15 @@
             Ok(asked) => asked,
             Err(what) => return Ok(plain(StatusCode::BAD_REQUEST, what)),
         };
-        self.shared.counts.arrived(self.shared.clock.now(), self.node.member.tier);
-        self.shared.travels(self.node.member.zone, self.zone, 1).await;
+        self.shared.counts.arrived(self.shared.clock.now(), self.node.place.tier);
+        self.shared.travels(self.node.zone, self.zone, 1).await;
         let reply = self.run(asked).await?;
-        self.shared.travels(self.node.member.zone, self.zone, 1).await;
+        self.shared.travels(self.node.zone, self.zone, 1).await;
         Ok(reply)
     }
 
     async fn probed(&self, as_body: bool) -> Reply {
-        self.shared.travels(self.node.member.zone, self.zone, 2).await;
+        self.shared.travels(self.node.zone, self.zone, 2).await;
         self.node.probe();
         let report = self.node.report().map(|figures| figures.to_string());
         let body = report.as_deref().filter(|_| as_body).unwrap_or("alive\n").to_owned();
@@ -151,7 +152,7 @@
     /// Runs a request to its answer. The caller may go meanwhile; what becomes of it then is the kind's affair,
     /// so that it runs in a task of its own.
     async fn run(self: &Arc<Self>, asked: Asked) -> Reply {
-        let breaks = self.node.resets(self.shared.scenario.network.reset_rate);
+        let breaks = self.shared.resets(&self.node);
         let ask = Ask { part: asked.part, until: asked.until };
         let (ticket, hears) = self.node.arrive(ask);
         let job = tokio::spawn(Job { caller: self.clone(), asked, ticket }.run(hears));
@@ -202,7 +203,7 @@
         let text = |name| headers.get(name).and_then(|v| v.to_str().ok());
         let id = text(protocol::REQUEST_ID).ok_or("x-request-id: not plain text\n")?.to_owned();
         let class = text(protocol::CLASS).ok_or("x-class: missing\n")?;
-        let class = shared.scenario.class_index(class).ok_or("x-class: no such class\n")?;
+        let class = shared.world.scenario.class_index(class).ok_or("x-class: no such class\n")?;
         let until = match text(protocol::DEADLINE) {
             None => None,
             Some(text) => {
@@ -211,11 +212,11 @@
             }
         };
         let given = text(protocol::EXTRAS).and_then(|text| protocol::extra(text, protocol::WORK));
-        let work = || node.draw(|chance| shared.work[class].nanos(chance)) as f64 / 1e3;
+        let work = || node.draw(|chance| shared.world.classes[class].work.draw(chance)) as f64 / 1e3;
         let work_us = given.unwrap_or_else(work);
-        let tier = node.member.tier;
-        let calls = shared.scenario.tier.get(tier + 1).map_or(0, |next| node.around(next.calls));
-        let own = work_us * 1e3 * shared.scenario.tier[tier].work_share;
+        let tier = node.place.tier;
+        let calls = shared.world.scenario.tier.get(tier + 1).map_or(0, |next| node.around(next.calls));
+        let own = work_us * 1e3 * shared.world.scenario.tier[tier].work_share;
         let (tenant, key) = (text(protocol::TENANT), text(protocol::KEY));
         Ok(Asked {
             id,
@@ -268,7 +269,7 @@
             hears = node.goes_on(self.ticket);
         }
         if node.leave(self.ticket, true).is_some() {
-            self.caller.shared.took_place(&node.member, self.asked.class, self.asked.key.as_deref());
+            self.caller.shared.took_place(node, self.asked.class, self.asked.key.as_deref());
         }
         let report = node.report().map(|figures| figures.to_string());
         Ok(with_report(plain(StatusCode::OK, self.asked.id.clone()), report.as_deref()))
@@ -282,9 +283,9 @@
     /// Calls the next tier, through the proxy beside this server. Whether it was served.
     async fn call(&self) -> bool {
         let shared = &self.caller.shared;
-        let class = &shared.scenario.class[self.asked.class];
-        let Some(pool) = shared.sidecar(self.caller.node.place()) else { return false };
-        let left = match self.asked.until.filter(|_| shared.scenario.limits.passes_deadline) {
+        let class = &shared.world.scenario.class[self.asked.class];
+        let Some(pool) = shared.sidecar(self.caller.node.place) else { return false };
+        let left = match self.asked.until.filter(|_| shared.world.scenario.limits.passes_deadline) {
             None => class.deadline.duration(),
             Some(until) => Duration::from_nanos(until.saturating_sub(shared.clock.now())),
         };
@@ -299,11 +300,11 @@
 
     fn name(&self, what: &str) -> String {
         let number: u64 = self.caller.node.draw(|chance| chance.random());
-        format!("{what}-{}-{number:016x}", self.caller.node.member.id)
+        format!("{what}-{}-{number:016x}", self.caller.node.name)
     }
 
     fn request(&self, key: Option<String>, left: Duration) -> Outgoing {
-        let class = &self.caller.shared.scenario.class[self.asked.class];
+        let class = &self.caller.shared.world.scenario.class[self.asked.class];
         let mut request = Request::builder()
             .method(if key.is_none() { Method::GET } else { Method::POST })
             .uri(API)
--- a/crates/lab/src/sockets/registry.rs
+++ b/crates/lab/src/sockets/registry.rs
@@ -27,8 +27,8 @@
     entries: BTreeMap<String, Entry>,
     changes: VecDeque<(u64, String)>,
     waiting: VecDeque<(u64, Entry)>,
-    /// Reasons why it hears nothing at present.
-    deaf: u32,
+    /// It hears nothing at present.
+    deaf: bool,
 }
 
 impl Registry {
@@ -36,7 +36,7 @@
     pub fn new(lag: u64, entries: Vec<Entry>) -> Registry {
         let entries = entries.into_iter().map(|e| (e.line.id.clone(), e)).collect();
         let (changes, waiting) = (VecDeque::new(), VecDeque::new());
-        Registry { lag, version: 1, entries, changes, waiting, deaf: 0 }
+        Registry { lag, version: 1, entries, changes, waiting, deaf: false }
     }
 
     /// Something changed; it is in the list once the lag has passed.
@@ -46,13 +46,13 @@
 
     /// It hears nothing from now on, or hears again.
     pub fn deaf(&mut self, on: bool) {
-        self.deaf = if on { self.deaf + 1 } else { self.deaf.saturating_sub(1) };
+        self.deaf = on;
     }
 
     /// Takes in what it has heard of by now. True: the list changed.
     pub fn advance(&mut self, now: u64) -> bool {
         let before = self.version;
-        while self.deaf == 0 && self.waiting.front().is_some_and(|(due, _)| *due <= now) {
+        while !self.deaf && self.waiting.front().is_some_and(|(due, _)| *due <= now) {
             let Some((_, entry)) = self.waiting.pop_front() else { break };
             self.version += 1;
             self.changes.push_back((self.version, entry.line.id.clone()));
@@ -66,7 +66,7 @@
 
     /// When it next hears of something.
     pub fn due(&self) -> Option<u64> {
-        self.waiting.front().map(|(due, _)| *due).filter(|_| self.deaf == 0)
+        self.waiting.front().map(|(due, _)| *due).filter(|_| !self.deaf)
     }
 
     /// The list's version.
--- a/crates/lab/src/sockets/server/machine.rs
+++ b/crates/lab/src/sockets/server/machine.rs
@@ -2,9 +2,9 @@
 
 use super::pace::Pace;
 use super::reports::{Figures, Now, Reports};
+use crate::model::Change;
 use crate::scenario::{Cancel, Kind, Rules};
 use crate::sockets::chance::Chance;
-use crate::sockets::faults::Trouble;
 use rand::Rng;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
@@ -108,7 +108,12 @@
     chance: Chance,
     alive: bool,
     draining: bool,
-    troubles: Vec<Trouble>,
+    /// Share of requests that fail at once.
+    errors: f64,
+    /// While it hangs nothing begins and nothing ends.
+    hangs: bool,
+    /// Its load reports are this much older.
+    late: u64,
     jobs: BTreeMap<Ticket, Job>,
     /// For a slot.
     queue: VecDeque<Ticket>,
@@ -139,7 +144,9 @@
             chance,
             alive: false,
             draining: false,
-            troubles: Vec::new(),
+            errors: 0.0,
+            hangs: false,
+            late: 0,
             jobs: BTreeMap::new(),
             queue: VecDeque::new(),
             in_slots: 0,
@@ -189,47 +196,28 @@
         self.ends.clear();
         self.held_up.clear();
         self.said.clear();
-        (self.in_slots, self.connections) = (0, 0);
-    }
-
-    /// A planned end: it turns away what comes from now on.
-    pub fn drain(&mut self) {
-        self.draining = true;
+        (self.in_slots, self.connections, self.hangs) = (0, 0, false);
     }
 
-    /// A trouble begins or ends. A crash is for [`Machine::stop`] and [`Machine::start`].
-    pub fn trouble(&mut self, now: u64, trouble: Trouble, on: bool) {
+    /// Something about it changes; for its death and its start there are [`Machine::stop`] and
+    /// [`Machine::start`].
+    pub fn change(&mut self, now: u64, change: Change) {
         self.advance(now);
-        if let Trouble::Slow(factor) = trouble {
-            self.pace.slow(factor, on);
-        } else if on {
-            self.troubles.push(trouble);
-        } else if let Some(at) = self.troubles.iter().position(|t| *t == trouble) {
-            self.troubles.swap_remove(at);
+        match change {
+            Change::Die { .. } | Change::Start => {}
+            Change::Drain => self.draining = true,
+            Change::Errors(share) => self.errors = share,
+            Change::Slow(factor) => self.pace.slow(factor),
+            Change::Late(late) => self.late = late,
+            Change::Hang(hangs) => self.hangs = hangs && self.alive,
         }
-        if !self.hangs() {
+        if !self.hangs {
             let ended = self.held_up.drain(..).filter(|t| self.jobs.contains_key(t));
             self.said.extend(ended.map(|ticket| (ticket, Said::Ran)));
         }
         self.settle(now);
     }
 
-    fn strongest(&self, of: impl Fn(&Trouble) -> Option<f64>) -> f64 {
-        self.troubles.iter().filter_map(of).fold(0.0, f64::max)
-    }
-
-    /// While it hangs nothing begins and nothing ends.
-    fn hangs(&self) -> bool {
-        self.troubles.contains(&Trouble::Hang)
-    }
-
-    /// Whether the connection of a request that was just read breaks.
-    pub fn resets(&mut self, also: f64) -> bool {
-        let of = |t: &Trouble| if let Trouble::Resets(p) = t { Some(*p) } else { None };
-        let probability = self.strongest(of).max(also);
-        self.chance.random::<f64>() < probability
-    }
-
     /// A request whose last byte has arrived. What is said of it is found in [`Machine::said`].
     pub fn arrive(&mut self, now: u64, ask: Ask) -> Ticket {
         self.advance(now);
@@ -237,8 +225,7 @@
         self.next += 1;
         self.tally.attempts += 1;
         self.press(now, ask.part as f64);
-        let of = |t: &Trouble| if let Trouble::FastErrors(p) = t { Some(*p) } else { None };
-        let error_rate = self.strongest(of).max(self.shape.kind.error_rate);
+        let error_rate = self.errors.max(self.shape.kind.error_rate);
         let free = self.in_slots < self.shape.kind.slots;
         let job = Job { ask, stage: Stage::Waits, done: 0.0, called_off: false };
         if self.draining {
@@ -352,9 +339,7 @@
     /// The load report that is told now, if it makes any.
     pub fn report(&mut self, now: u64) -> Option<Figures> {
         self.advance(now);
-        let of = |t: &Trouble| if let Trouble::LateReports(ns) = t { Some(*ns) } else { None };
-        let later = self.troubles.iter().filter_map(of).max().unwrap_or(0);
-        self.reports.as_ref()?.told(now, later, &mut self.chance)
+        self.reports.as_ref()?.told(now, self.late, &mut self.chance)
     }
 
     /// What was said since the last call, oldest first.
@@ -417,7 +402,7 @@
         self.tally.work += running.work;
         if let Some(job) = self.jobs.get_mut(&ticket) {
             job.done += running.work;
-            if self.hangs() {
+            if self.hangs {
                 self.held_up.push(ticket);
             } else {
                 self.said.push((ticket, Said::Ran));
@@ -440,7 +425,7 @@
 
     /// Gives free slots and cores to who waits for them. What begins says at once that it is over.
     fn settle(&mut self, now: u64) {
-        let stands = self.pace.still(now) || self.hangs();
+        let stands = self.pace.still(now) || self.hangs;
         loop {
             while self.in_slots < self.shape.kind.slots {
                 let Some(ticket) = self.queue.pop_front() else { break };
--- a/crates/lab/src/sockets/server/pace.rs
+++ b/crates/lab/src/sockets/server/pace.rs
@@ -15,7 +15,7 @@
     /// Since when it has had too many requests, or few enough.
     over: Option<u64>,
     rests: Option<u64>,
-    slow: Vec<f64>,
+    slower: f64,
     pause: Option<Pause>,
     next_pause: u64,
     still_until: u64,
@@ -39,7 +39,7 @@
             crowded: false,
             over: None,
             rests: Some(0),
-            slow: Vec::new(),
+            slower: 1.0,
             pause,
             next_pause: u64::MAX,
             still_until: 0,
@@ -74,20 +74,16 @@
         }
     }
 
-    /// A fault makes it slower by a factor, or ends.
-    pub fn slow(&mut self, factor: f64, on: bool) {
-        if on {
-            self.slow.push(factor);
-        } else if let Some(at) = self.slow.iter().position(|f| *f == factor) {
-            self.slow.swap_remove(at);
-        }
+    /// A fault makes it slower by a factor; 1: no more.
+    pub fn slow(&mut self, factor: f64) {
+        self.slower = factor.max(1.0);
     }
 
     /// Speed of a core.
     pub fn speed(&mut self, now: u64) -> f64 {
         self.turn(now);
         let crowding = self.crowd.filter(|_| self.crowded).map_or(1.0, |c| c.slower);
-        self.speed * self.warmth(now) / crowding / self.slow.iter().product::<f64>()
+        self.speed * self.warmth(now) / crowding / self.slower
     }
 
     /// Share of its speed that a cold start leaves it.
@@ -142,9 +138,9 @@
         for (now, speed) in [(50, 0.4), (100, 1.2), (150, 2.0), (900, 2.0)] {
             assert!((pace.speed(now) - speed).abs() < 1e-9, "at {now}: {}", pace.speed(now));
         }
-        pace.slow(4.0, true);
+        pace.slow(4.0);
         assert!((pace.speed(900) - 0.5).abs() < 1e-9);
-        pace.slow(4.0, false);
+        pace.slow(1.0);
         assert!((pace.speed(900) - 2.0).abs() < 1e-9);
     }
 
--- a/crates/lab/tests/sockets/common.rs
+++ b/crates/lab/tests/sockets/common.rs
@@ -3,6 +3,8 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
+use olivecart_lab::model::World;
+use olivecart_lab::policy::named;
 use olivecart_lab::scenario::Scenario;
 use olivecart_lab::sockets::client::{Answer, CallError, Pool};
 use olivecart_lab::sockets::fleet::Fleet;
@@ -33,9 +35,15 @@
     Scenario::parse("test", &text).unwrap().into_inner()
 }
 
+/// What seed 1 makes of it.
+pub fn world(scenario: &Scenario) -> Arc<World> {
+    let maker = named("olivecart").unwrap();
+    Arc::new(World::new(scenario.clone(), 1, "olivecart", maker, false))
+}
+
 /// Its servers.
 pub fn fleet(scenario: &Scenario) -> Fleet {
-    Fleet::start(scenario, 1, Arc::new(Loopback::new())).unwrap()
+    Fleet::start(world(scenario), &Loopback::new()).unwrap()
 }
 
 /// A request of a class, with further headers.
--- a/crates/lab/tests/sockets/fleet.rs
+++ b/crates/lab/tests/sockets/fleet.rs
@@ -3,7 +3,7 @@
 use super::common::{NEVER, brief, call, fleet, get, on, request, scenario};
 use futures_util::future::{BoxFuture, join_all};
 use olivecart_lab::sockets::client::{CallError, Pool};
-use olivecart_lab::sockets::fleet::{Fleet, Place, Proxies};
+use olivecart_lab::sockets::fleet::{Fleet, Proxies};
 use olivecart_lab::sockets::protocol::{Document, State};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -200,16 +200,12 @@
 struct Straight(SocketAddr);
 
 impl Proxies for Straight {
-    fn start(&self, _: Place, _: &str, _: usize) -> BoxFuture<'static, Result<SocketAddr, String>> {
+    fn start(&self, _: u32) -> BoxFuture<'static, Result<SocketAddr, String>> {
         let to = self.0;
         Box::pin(async move { Ok(to) })
     }
 
-    fn dies(&self, _: Place, _: bool) {}
-
-    fn fronts(&self, _: &[usize], _: bool) {}
-
-    fn zone(&self, _: usize, _: bool) {}
+    fn dies(&self, _: u32, _: bool) {}
 }
 
 const TWO_TIERS: &str = r#"tier = [
