Add the open-loop load, which counts latency from when a request was due

A load that falls behind its schedule, or would have too many requests open, says that it is unsound.

--- a/crates/lab/src/model/mod.rs
+++ b/crates/lab/src/model/mod.rs
@@ -17,7 +17,7 @@
 mod world;
 
 pub use message::{Change, Verdict};
-pub use world::{ServerSpec, World};
+pub use world::{NOBODY, ServerSpec, World};
 
 use crate::engine::{Model, Outbox};
 use crate::run::result::{Breach, Held, Server as ServerResult};
--- a/crates/lab/src/sockets/fleet/play.rs
+++ b/crates/lab/src/sockets/fleet/play.rs
@@ -84,7 +84,7 @@
         };
         let node = self.shared.node(Place { tier: tier as usize, index: slot as usize });
         match change {
-            Change::Die { silent } => self.dies(&node, silent),
+            Change::Die { silent } => self.dies(node, silent),
             Change::Start if !node.fell_over() => {
                 node.vanishes(false);
                 node.ends(); // what a silent death has left open
@@ -95,7 +95,7 @@
             Change::Start => {}
             Change::Drain => {
                 node.change(change);
-                self.tell(&node, State::Draining);
+                self.tell(node, State::Draining);
             }
             _ => node.change(change),
         }
--- a/crates/lab/src/sockets/fleet/record.rs
+++ b/crates/lab/src/sockets/fleet/record.rs
@@ -1,7 +1,8 @@
 //! What a fleet has seen, for a run's result.
 
 use super::Fleet;
-use crate::run::result::{Second, Server, Totals, Window};
+use crate::run::out_of_bounds;
+use crate::run::result::{RunResult, Server};
 use crate::scenario::Scenario;
 use crate::sockets::held;
 use std::sync::Mutex;
@@ -25,10 +26,10 @@
     pub connections_per_server: f64,
     /// Work done for which no answer could be given, over all work done.
     pub wasted_work: f64,
-    /// What went wrong when.
-    pub faults: Vec<Window>,
 }
 
+const SECOND: u64 = 1_000_000_000;
+
 /// Attempts by second.
 pub struct Counts {
     begin: Mutex<Option<u64>>,
@@ -38,7 +39,7 @@
 impl Counts {
     /// For a run of the scenario's length; what comes after it is not counted.
     pub fn new(scenario: &Scenario) -> Counts {
-        let seconds = scenario.length.nanos().div_ceil(1_000_000_000) as usize;
+        let seconds = scenario.length.nanos().div_ceil(SECOND) as usize;
         Counts { begin: Mutex::new(None), seconds: Mutex::new(vec![(0, 0); seconds]) }
     }
 
@@ -55,7 +56,7 @@
     /// An attempt has arrived at a tier.
     pub fn arrived(&self, now: u64, tier: usize) {
         let Some(since) = self.since_begin(now) else { return };
-        if let Some(second) = held(&self.seconds).get_mut((since / 1_000_000_000) as usize) {
+        if let Some(second) = held(&self.seconds).get_mut((since / SECOND) as usize) {
             second.0 += u64::from(tier == 0);
             second.1 += 1;
         }
@@ -63,12 +64,14 @@
 }
 
 impl Record {
-    /// Enters what servers saw into a run's totals and seconds. `warm` seconds at the begin are not counted.
-    pub fn enter(&self, totals: &mut Totals, seconds: &mut [Second], warm: usize) {
-        for (second, (first, all)) in seconds.iter_mut().zip(&self.seconds) {
+    /// Enters what servers saw into a run's result. Attempts before the end of the warm-up are not counted.
+    pub fn enter(&self, result: &mut RunResult, scenario: &Scenario) {
+        for (second, (first, all)) in result.seconds.iter_mut().zip(&self.seconds) {
             (second.attempts, second.attempts_all_tiers) = (*first, *all);
         }
+        let warm = (scenario.warmup.nanos() / SECOND) as usize;
         let counted = || self.seconds.iter().skip(warm);
+        let totals = &mut result.totals;
         totals.attempts = counted().map(|(first, _)| first).sum();
         totals.attempts_all_tiers = counted().map(|(_, all)| all).sum();
         totals.attempts_per_request = totals.attempts as f64 / totals.offered.max(1) as f64;
@@ -77,13 +80,15 @@
         totals.connections_per_server = self.connections_per_server;
         totals.wasted_work = self.wasted_work;
         totals.second_effects = self.second_effects;
+        result.servers.clone_from(&self.servers);
+        result.out_of_bounds = out_of_bounds(scenario, result);
     }
 }
 
 impl Fleet {
     /// What the servers have seen so far.
     pub fn record(&self) -> Record {
-        let mut record = Record { faults: self.shared.world.timeline.windows.clone(), ..Record::default() };
+        let mut record = Record::default();
         let (mut work, mut wasted, mut uptime, mut connections) = (0.0, 0.0, 0.0, 0.0);
         let world = &self.shared.world;
         for node in self.shared.all_nodes() {
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -10,6 +10,7 @@
 pub mod clock;
 pub mod effects;
 pub mod fleet;
+pub mod load;
 pub mod protocol;
 pub mod registry;
 pub mod server;
--- a/crates/lab/tests/sockets/fleet.rs
+++ b/crates/lab/tests/sockets/fleet.rs
@@ -1,6 +1,7 @@
 //! The stand-ins, as their peers see them.
 
-use super::common::{NEVER, brief, call, fleet, get, on, request, scenario};
+use super::common::{NEVER, scenario};
+use super::peers::{brief, call, fleet, get, on, request};
 use futures_util::future::{BoxFuture, join_all};
 use olivecart_lab::sockets::client::{CallError, Pool};
 use olivecart_lab::sockets::fleet::{Fleet, Proxies};
--- a/crates/lab/tests/sockets/main.rs
+++ b/crates/lab/tests/sockets/main.rs
@@ -3,3 +3,4 @@
 
 mod common;
 mod fleet;
+mod peers;
