Bring a whole scenario up on loopback with real proxies as children

A child is started with a configuration file made from the scenario, waited for until it is ready, and killed and reaped whatever happens; its CPU time, memory and descriptors are read from /proc. The settings are those that the model tells its decisions, which a test reads back. A stage holds servers, discovery, the proxy beside each server that calls on, and the first tier's proxies; faults take proxies along.

--- a/crates/lab/src/model/mod.rs
+++ b/crates/lab/src/model/mod.rs
@@ -17,7 +17,7 @@
 mod world;
 
 pub use message::{Change, Verdict};
-pub use world::{NOBODY, ServerSpec, World};
+pub use world::{MachineSpec, NOBODY, ServerSpec, World, mix};
 
 use crate::engine::{Model, Outbox};
 use crate::run::result::{Breach, Held, Server as ServerResult};
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -6,14 +6,19 @@
 //! ([`effects`]), and discovery's list ([`registry`]). The rest moves bytes.
 
 pub mod chance;
+pub mod child;
 pub mod client;
 pub mod clock;
 pub mod effects;
 pub mod fleet;
 pub mod load;
+pub mod proc;
+pub mod program;
 pub mod protocol;
 pub mod registry;
 pub mod server;
+pub mod settings;
+pub mod stage;
 pub mod stream;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
--- /dev/null
+++ b/crates/lab/src/sockets/settings.rs
@@ -0,0 +1,193 @@
+//! What a real proxy is told: the configuration file for its place in a scenario.
+
+use super::protocol::Document;
+use super::server::REPORT_NAMES;
+use crate::model::World;
+use crate::scenario::{Class, DiscoveryMode, Effect, Group, Weights};
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+
+/// What a proxy's process may use.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Memory, in MB. Told, not enforced.
+    pub memory_mb: u32,
+    /// Descriptors. Told, not enforced.
+    pub sockets: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { memory_mb: 192, sockets: 1024 }
+    }
+}
+
+/// The settings object of the proxy of a machine; none if it has no proxy.
+pub fn settings(world: &World, machine: u32) -> Option<Value> {
+    let spec = world.machines.get(machine as usize)?;
+    let (tier, number) = spec.proxy?;
+    let told = world.settings(tier, number, spec.zone);
+    let scenario = &world.scenario;
+    let to = &scenario.tier[tier as usize];
+    let accounts = scenario.tenant.iter().zip(&told.tenants);
+    let idle = to.kind.iter().map(|k| k.connections.idle.nanos()).min();
+    let reports = to.kind.iter().any(|k| k.report.is_some());
+    let (limits, rules) = (&told.limits, &told.rules);
+    Some(json!({
+        "accounts": accounts.map(|(named, told)| json!({
+            "name": named.name,
+            "share": told.share,
+            "quota-per-s": told.quota_per_s,
+        })).collect::<Vec<_>>(),
+        "allowed": {
+            "connect-timeout-ns": limits.connect_timeout,
+            "idle-close-ns": idle,
+            "max-attempts": limits.max_attempts,
+            "max-retry-after-ns": limits.max_retry_after,
+            "may-cancel": limits.cancel,
+            "most-held": scenario.limits.most_held,
+            "probes": limits.probes,
+            "retry-after": limits.max_retry_after > 0,
+            "second-copies": limits.second_copies,
+            "streams-per-conn": 1,
+        },
+        "callers": { "marks-retry": scenario.clients.marks_retry },
+        "dcs": scenario.zones,
+        "extra": { "passes-deadline": told.passes_deadline },
+        "grades": scenario.class.iter().map(grade).collect::<Vec<_>>(),
+        "granularity-ns": told.tick,
+        "group-size": told.group_size,
+        "me": told.me,
+        "over-share-worth": told.over_share_worth,
+        "registry-mode": match scenario.discovery.mode {
+            DiscoveryMode::Push => "automatic",
+            DiscoveryMode::Watch => "subscribe",
+        },
+        "report": {
+            "names": if reports { &REPORT_NAMES[..] } else { &[] },
+            "source": if reports { "answers" } else { "none" },
+        },
+        "rules": {
+            "cold-ns": rules.cold,
+            "cold-share": rules.cold_share,
+            "drain-grace-ns": rules.drain_grace,
+            "fall-multiple": rules.fall_multiple,
+            "fall-ns": rules.fall,
+            "grace-to-answer-ns": scenario.rules.answer_grace.nanos(),
+            "must-ask-in-ns": rules.must_ask_in,
+        },
+        "shapes": to.kind.iter().map(|k| &k.name).collect::<Vec<_>>(),
+        "stages": scenario.tier.iter().map(|t| &t.name).collect::<Vec<_>>(),
+        "tier": told.tier,
+        "weights": match to.weights {
+            Weights::None => "none",
+            Weights::Nominal => "nominal",
+            Weights::True => "rough",
+        },
+        "worth-by": if told.worth_by_work { "work" } else { "request" },
+        "zone": scenario.zones[spec.zone as usize],
+    }))
+}
+
+fn grade(class: &Class) -> Value {
+    let mut grade = json!({
+        "name": class.name,
+        "aim-ns": class.aim.nanos(),
+        "give-up-ns": class.deadline.nanos(),
+        "worth": class.worth,
+        "late-worth": class.late_worth,
+        "stream": false,
+        "effect": match class.effect {
+            Effect::Repeatable => "repeatable",
+            Effect::ByKey => "by_key",
+            Effect::Once => "once",
+        },
+    });
+    if class.effect == Effect::ByKey {
+        grade["group"] = match class.group {
+            Group::All => "all",
+            Group::Zone => "zone",
+            Group::Cell => "cell",
+        }
+        .into();
+        grade["window-ns"] = class.window.unwrap_or_default().nanos().into();
+    }
+    grade
+}
+
+/// Where a proxy is, and what it starts with.
+pub struct Start<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Where it finds discovery.
+    pub discovery: SocketAddr,
+    /// Feeds its chance.
+    pub seed: u64,
+    /// The list as it last had it.
+    pub known: &'a Document,
+    /// What it may use.
+    pub limits: Limits,
+}
+
+/// The configuration file of the proxy of a machine; none if it has no proxy.
+pub fn config(world: &World, machine: u32, start: &Start) -> Option<Value> {
+    Some(json!({
+        "name": start.name,
+        "listen": start.listen,
+        "discovery": start.discovery,
+        "seed": format!("{:016x}", start.seed),
+        "limits": { "cores": 1.0, "memory_mb": start.limits.memory_mb, "sockets": start.limits.sockets },
+        "known": start.known,
+        "settings": settings(world, machine)?,
+    }))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::policy::named;
+    use crate::scenario::Scenario;
+    use olivecart_settings::Site;
+
+    #[test]
+    fn a_proxy_reads_what_the_model_tells_its_decisions() {
+        let text = r#"version = 1
+            name = "test"
+            length = "1s"
+            zones = ["a", "b"]
+            class = [
+                { name = "read", aim = "100ms", deadline = "1s", worth = 2.5, late_worth = 0.25, effect = "repeatable", work = { dist = "fixed", mean = "3ms" } },
+                { name = "book", aim = "200ms", deadline = "2s", effect = "by_key", group = "cell", window = "7s", work = { dist = "fixed", mean = "3ms" } },
+                { name = "pay", aim = "200ms", deadline = "2s", effect = "once", work = { dist = "fixed", mean = "3ms" } }]
+            tenant = [{ name = "x", share = 0.4 }, { name = "y", share = 0.2 }]
+            over_share_worth = 0.125
+            clients = { load = 0.5 }
+            discovery = { mode = "watch" }
+            limits = { max_attempts = 5, cancel = false, max_retry_after = "3s", connect_timeout = "70ms", most_held = 99, passes_deadline = false }
+            rules = { cold_share = 0.3, cold_time = "4s", fall_multiple = 2.5, fall_window = "2s", drain_grace = "300ms", must_ask_in = "6s", answer_grace = "15ms" }
+            tier = [
+                { name = "t", servers = 5, proxies = 3, kind = [{ name = "k", cores = 1 }] },
+                { name = "u", servers = 2, kind = [{ name = "k", cores = 1, report = { period = "1s" }, connections = { idle = "8s" } }] }]"#;
+        let scenario = Scenario::parse("test", text).unwrap().into_inner();
+        let world = World::new(scenario, 1, "olivecart", named("olivecart").unwrap(), false);
+        let mut proxies = 0;
+        for (machine, spec) in (0..).zip(&world.machines) {
+            let Some((tier, number)) = spec.proxy else {
+                assert!(settings(&world, machine).is_none());
+                continue;
+            };
+            proxies += 1;
+            let site = Site::read(&settings(&world, machine).unwrap().to_string()).unwrap();
+            let told = world.settings(tier, number, spec.zone);
+            assert_eq!(format!("{:#?}", site.settings), format!("{told:#?}"));
+            assert_eq!((site.most_held, site.answer_grace.as_millis()), (99, 15));
+            assert_eq!(site.idle_close.as_secs(), if tier == 1 { 8 } else { 30 });
+            let reported = site.load_row(vec![Some(1.0); 4]);
+            assert_eq!((reported.cpu.is_some(), reported.rate.is_some()), (tier == 1, tier == 1));
+            assert_eq!((site.classes.get("pay"), site.tenants.get("y")), (Some(2), Some(1)));
+        }
+        assert_eq!(proxies, 3 + 5);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/sockets/stage.rs
@@ -0,0 +1,277 @@
+//! A whole scenario on loopback: servers and discovery, the proxy beside each server that calls another tier, and
+//! the first tier's proxies. Real proxies, as children.
+
+use super::child::{Child, ChildError, becomes_ready};
+use super::fleet::{Fleet, FleetError, Proxies, Record};
+use super::held;
+use super::load::{Load, LoadError, Options, Report, Target};
+use super::proc::{Track, Tracks};
+use super::protocol::Document;
+use super::settings::{Limits, Start, config};
+use super::stream::Loopback;
+use crate::model::{World, mix};
+use futures_util::future::{BoxFuture, try_join_all};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tempfile::TempDir;
+use tokio::task::JoinHandle;
+
+/// A proxy that was asked to leave has left after this, or is killed.
+const LEAVES: Duration = Duration::from_secs(5);
+
+/// Why a stage is not set.
+#[derive(Debug, thiserror::Error)]
+pub enum StageError {
+    /// No socket, or no folder for the children's files.
+    #[error("the stage cannot be set: {0}")]
+    Io(#[from] io::Error),
+    /// The servers do not start.
+    #[error(transparent)]
+    Fleet(#[from] FleetError),
+    /// A first-tier proxy did not come up.
+    #[error("{0}")]
+    Front(String),
+    /// There is no load.
+    #[error(transparent)]
+    Load(#[from] LoadError),
+}
+
+/// The real proxies of a stage.
+#[derive(Clone)]
+struct Children(Arc<Inner>);
+
+struct Inner {
+    world: Arc<World>,
+    program: PathBuf,
+    limits: Limits,
+    folder: TempDir,
+    /// By machine: where its proxy listens.
+    addresses: Vec<Option<SocketAddr>>,
+    /// Where discovery is, and the first list, by tier and zone.
+    discovery: Vec<Vec<(SocketAddr, Document)>>,
+    /// By machine.
+    running: Mutex<BTreeMap<u32, Child>>,
+    tracks: Mutex<Tracks>,
+    started: AtomicU64,
+}
+
+impl Children {
+    fn spawn(&self, machine: u32) -> Result<SocketAddr, ChildError> {
+        let inner = &self.0;
+        let spec = &inner.world.machines[machine as usize];
+        let no_proxy = || ChildError::Start(inner.program.clone(), io::ErrorKind::NotFound.into());
+        let (tier, _) = spec.proxy.ok_or_else(no_proxy)?;
+        let listen = inner.addresses[machine as usize].ok_or_else(no_proxy)?;
+        let (discovery, known) = &inner.discovery[tier as usize][spec.zone as usize];
+        let name = inner.world.proxy_name(machine).replace("'s proxy", "-proxy");
+        let seed =
+            mix(inner.world.seed, inner.started.fetch_add(1, Ordering::SeqCst) << 32 | u64::from(machine));
+        let start = Start { name: &name, listen, discovery: *discovery, seed, known, limits: inner.limits };
+        let config = config(&inner.world, machine, &start).ok_or_else(no_proxy)?;
+        // Danger: one that only vanished still has the address.
+        held(&inner.running).remove(&machine);
+        let child = Child::start(&inner.program, inner.folder.path(), &name, listen, &config)?;
+        held(&inner.running).insert(machine, child);
+        Ok(listen)
+    }
+
+    /// Whether a child is there and runs.
+    fn check(&self, machine: u32) -> Result<(), ChildError> {
+        match held(&self.0.running).get_mut(&machine) {
+            Some(child) => child.check(),
+            None => Ok(()), // it died as the scenario says
+        }
+    }
+
+    fn sample(&self) {
+        let running = held(&self.0.running);
+        let pids: Vec<_> = running.values().map(|child| (child.name().to_owned(), child.pid())).collect();
+        drop(running);
+        held(&self.0.tracks).take(pids);
+    }
+}
+
+impl Proxies for Children {
+    fn start(&self, machine: u32) -> BoxFuture<'static, Result<SocketAddr, String>> {
+        let children = self.clone();
+        Box::pin(async move {
+            let listen = children.spawn(machine).map_err(|e| e.to_string())?;
+            match becomes_ready(listen, || children.check(machine)).await {
+                Ok(true) => Ok(listen),
+                Ok(false) => {
+                    let late = held(&children.0.running).get(&machine).map(Child::not_ready);
+                    late.map_or(Ok(listen), |e| Err(e.to_string()))
+                }
+                Err(e) => Err(e.to_string()),
+            }
+        })
+    }
+
+    fn dies(&self, machine: u32, silently: bool) {
+        let mut running = held(&self.0.running);
+        if silently {
+            running.get(&machine).into_iter().for_each(Child::freeze);
+        } else {
+            running.remove(&machine);
+        }
+    }
+}
+
+/// How a stage is set.
+#[derive(Clone, Debug)]
+pub struct Setting {
+    /// The program `olivecart`.
+    pub program: PathBuf,
+    /// What its processes are told that they may use.
+    pub limits: Limits,
+    /// With the first tier's proxies.
+    pub fronts: bool,
+}
+
+/// A scenario that is up. Dropped, it is gone, children included.
+pub struct Stage {
+    world: Arc<World>,
+    fleet: Fleet,
+    children: Children,
+    fronts: Vec<Target>,
+    sampler: JoinHandle<()>,
+}
+
+impl Stage {
+    /// Brings all of a scenario up. All is well until [`Stage::begin`].
+    ///
+    /// # Errors
+    /// Something does not come up.
+    pub async fn set(world: Arc<World>, setting: Setting) -> Result<Stage, StageError> {
+        let net = Loopback::new();
+        let mut fleet = Fleet::start(world.clone(), &net)?;
+        let zones = world.scenario.zones.len();
+        let of_tier =
+            |tier| (0..zones).map(|zone| (fleet.discovery(tier, zone), fleet.list(tier, zone))).collect();
+        let discovery = (0..world.tiers.len()).map(of_tier).collect();
+        let address = |spec: &crate::model::MachineSpec| spec.proxy.map(|_| net.address()).transpose();
+        let children = Children(Arc::new(Inner {
+            program: setting.program,
+            limits: setting.limits,
+            folder: TempDir::with_prefix("olivecart-lab-")?,
+            addresses: world.machines.iter().map(address).collect::<io::Result<_>>()?,
+            discovery,
+            running: Mutex::default(),
+            tracks: Mutex::default(),
+            started: AtomicU64::new(0),
+            world: world.clone(),
+        }));
+        fleet.attach(Arc::new(children.clone())).await?;
+        let fronts = if setting.fronts { start_fronts(&world, &children).await? } else { Vec::new() };
+        let sampled = children.clone();
+        let sampler = tokio::spawn(async move {
+            let mut every = tokio::time::interval(Tracks::PERIOD);
+            loop {
+                every.tick().await;
+                sampled.sample();
+            }
+        });
+        Ok(Stage { world, fleet, children, fronts, sampler })
+    }
+
+    /// The first tier's proxies.
+    pub fn fronts(&self) -> &[Target] {
+        &self.fronts
+    }
+
+    /// Servers and discovery.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// The configuration file of a first-tier proxy that somebody else starts, to listen at an address.
+    pub fn config_of_front(&self, machine: u32, listen: SocketAddr) -> Option<serde_json::Value> {
+        let zone = self.world.machines.get(machine as usize)?.zone as usize;
+        let (discovery, known) = &self.children.0.discovery[0][zone];
+        let name = self.world.proxy_name(machine);
+        let (seed, limits) = (mix(self.world.seed, machine.into()), self.children.0.limits);
+        let start = Start { name: &name, listen, discovery: *discovery, seed, known, limits };
+        config(&self.world, machine, &start)
+    }
+
+    /// The run begins at this time; see [`Fleet::begin`].
+    pub fn begin(&self, at: Instant) {
+        self.fleet.begin(at);
+    }
+
+    /// A load of the scenario's clients on the first tier's proxies.
+    ///
+    /// # Errors
+    /// As [`Load::new`].
+    pub fn load(&self, options: Options) -> Result<Load, LoadError> {
+        Load::new(self.world.clone(), self.fronts.clone(), options)
+    }
+
+    /// What servers saw so far.
+    pub fn record(&self) -> Record {
+        self.fleet.record()
+    }
+
+    /// Who does not run at present: servers and first-tier proxies.
+    pub fn down(&self) -> Vec<String> {
+        let mut down = self.fleet.down();
+        let running = held(&self.children.0.running);
+        let gone = (0..self.fronts.len() as u32).filter(|machine| !running.contains_key(machine));
+        down.extend(gone.map(|machine| self.world.proxy_name(machine)));
+        down
+    }
+
+    /// What each proxy has used so far.
+    pub fn tracks(&self) -> Vec<Track> {
+        self.children.sample();
+        held(&self.children.0.tracks).all().to_vec()
+    }
+
+    /// What went wrong that the scenario did not mean to: proxies that ended by themselves, or did not come up.
+    pub fn troubles(&self) -> Vec<String> {
+        let mut troubles = self.fleet.troubles();
+        let machines: Vec<u32> = held(&self.children.0.running).keys().copied().collect();
+        troubles.extend(machines.iter().filter_map(|m| self.children.check(*m).err()).map(|e| e.to_string()));
+        troubles
+    }
+
+    /// Enters what servers saw, and what went wrong that should not have, into a load's report.
+    pub fn complete(&self, report: &mut Report) {
+        self.record().enter(&mut report.result, &self.world.scenario);
+        report.result.unsound.extend(self.troubles());
+    }
+
+    /// Ends it: proxies are asked to leave, and killed if they have not after a while.
+    pub async fn end(self) {
+        let mut running = std::mem::take(&mut *held(&self.children.0.running));
+        running.values().for_each(Child::terminate);
+        let end = Instant::now() + LEAVES;
+        for child in running.values_mut() {
+            child.ends_within(end.saturating_duration_since(Instant::now())).await;
+        }
+    }
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        self.sampler.abort();
+        held(&self.children.0.running).clear(); // whoever else still holds the children
+    }
+}
+
+async fn start_fronts(world: &World, children: &Children) -> Result<Vec<Target>, StageError> {
+    let fronts = world.fronts.iter().flatten().copied();
+    let start = |machine: u32| {
+        let zone = world.machines[machine as usize].zone as usize;
+        let started = children.start(machine);
+        async move { started.await.map(|addr| (machine, Target { addr, zone: Some(zone) })) }
+    };
+    let mut started = try_join_all(fronts.map(start)).await.map_err(StageError::Front)?;
+    started.sort_by_key(|(machine, _)| *machine);
+    Ok(started.into_iter().map(|(_, target)| target).collect())
+}
--- a/crates/lab/tests/sockets/main.rs
+++ b/crates/lab/tests/sockets/main.rs
@@ -4,3 +4,4 @@
 mod common;
 mod fleet;
 mod peers;
+mod stage;
