--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,8 +2,12 @@
 //! sockets, and experiments that compare.
 
 pub mod engine;
+pub mod experiment;
 pub mod model;
+mod nearest;
 pub mod policy;
+pub mod report;
+pub mod results;
 pub mod run;
 pub mod scenario;
 pub mod sockets;
