--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -12,12 +12,14 @@
 pub mod effects;
 pub mod fleet;
 pub mod load;
+pub mod overhead;
 pub mod proc;
 pub mod program;
 pub mod protocol;
 pub mod registry;
 pub mod server;
 pub mod settings;
+pub mod show;
 pub mod stage;
 pub mod stream;
 
--- /dev/null
+++ b/crates/lab/src/sockets/overhead.rs
@@ -0,0 +1,128 @@
+//! What a proxy costs: the same load through it and straight to the servers behind it, at the same time.
+
+use super::load::{Load, LoadError, Options, Report, Target};
+use super::proc::Track;
+use super::settings::Limits;
+use super::stage::{Setting, Stage, StageError};
+use crate::model::World;
+use crate::policy::{UnknownPolicy, named};
+use crate::scenario::{Problems, Scenario};
+use std::fmt;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Servers with room for all, a millisecond of work, and hardly any network.
+const SCENARIO: &str = r#"
+version = 1
+name = "overhead"
+length = "10s"
+class = [{ name = "read", aim = "1s", deadline = "5s", effect = "repeatable", work = { dist = "fixed", mean = "1ms" } }]
+clients = { rate = 1.0 }
+network = { same_zone = "20us", cross_zone = "20us", client = "20us", jitter = 0.0 }
+tier = [{ name = "app", servers = 4, proxies = 1, kind = [{ name = "box", cores = 64 }] }]
+"#;
+
+/// Why nothing is measured.
+#[derive(Debug, thiserror::Error)]
+pub enum OverheadError {
+    /// The rate or the length is out of range.
+    #[error("{0}")]
+    Scenario(Problems),
+    /// The project's own decisions have another name.
+    #[error(transparent)]
+    Policy(#[from] UnknownPolicy),
+    /// The proxy or the servers do not come up.
+    #[error(transparent)]
+    Stage(#[from] StageError),
+    /// There is no load.
+    #[error(transparent)]
+    Load(#[from] LoadError),
+}
+
+/// What one rate came to.
+#[derive(Clone, Debug)]
+pub struct Overhead {
+    /// Requests a second that were asked for, on each way.
+    pub rate: f64,
+    /// The load through the proxy.
+    pub through: Report,
+    /// The load straight to the servers.
+    pub straight: Report,
+    /// What the proxy used.
+    pub proxy: Track,
+}
+
+impl Overhead {
+    /// Requests that the proxy passed on for each second of its CPU time.
+    pub fn requests_per_cpu_second(&self) -> f64 {
+        self.through.result.totals.offered as f64 / self.proxy.cpu_s().max(0.01)
+    }
+
+    /// What the proxy adds to the median, the 99th and the 99.9th percentile of the latency, in milliseconds.
+    pub fn added_ms(&self) -> [f64; 3] {
+        let [through, straight] = [&self.through, &self.straight].map(|r| &r.result.classes[0].latency);
+        [
+            through.p50_ms - straight.p50_ms,
+            through.p99_ms - straight.p99_ms,
+            through.p999_ms - straight.p999_ms,
+        ]
+    }
+}
+
+impl fmt::Display for Overhead {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let of = |r: &Report| {
+            let latency = r.result.classes[0].latency;
+            format!("{:7.3} {:7.3} {:7.3}", latency.p50_ms, latency.p99_ms, latency.p999_ms)
+        };
+        let [p50, p99, p999] = self.added_ms();
+        write!(
+            f,
+            "{:6.0}/s  through {}  straight {}  added {p50:6.3} {p99:6.3} {p999:6.3} ms  \
+             {:6.0} requests a CPU second  {:5.1} MiB",
+            self.rate,
+            of(&self.through),
+            of(&self.straight),
+            self.requests_per_cpu_second(),
+            self.proxy.peak_mib()
+        )?;
+        let unsound = self.through.result.unsound.iter().chain(&self.straight.result.unsound);
+        unsound.map(String::as_str).try_for_each(|why| write!(f, "  not to be trusted: {why}"))
+    }
+}
+
+/// Measures at a rate, for some seconds.
+///
+/// # Errors
+/// The proxy or the servers do not come up, or the rate is out of range.
+pub async fn measure(program: &Path, rate: f64, seconds: u32, seed: u64) -> Result<Overhead, OverheadError> {
+    let text = SCENARIO.replace("rate = 1.0", &format!("rate = {rate:?}"));
+    let text = text.replace("length = \"10s\"", &format!("length = \"{seconds}s\""));
+    let scenario = Scenario::parse("overhead", &text).map_err(OverheadError::Scenario)?.into_inner();
+    let maker = named("olivecart")?;
+    let world = |seed| Arc::new(World::new(scenario.clone(), seed, "olivecart", maker, false));
+    let setting = Setting { program: program.to_owned(), limits: Limits::default(), fronts: true };
+    let stage = Stage::set(world(seed), setting).await?;
+    let servers = stage.fleet().servers(0, 0).into_iter();
+    let straight = servers.map(|(_, addr)| Target { addr, zone: None }).collect();
+    let through = stage.load(Options::default())?;
+    let straight = Load::new(world(seed + 1), straight, Options::default())?;
+    let begin = Instant::now() + Duration::from_millis(500);
+    stage.begin(begin);
+    let before = stage.tracks();
+    let (through, straight) = tokio::join!(through.run(begin), straight.run(begin));
+    let proxy = stage.tracks().into_iter().zip(before).map(|(mut track, before)| {
+        // From the begin on, without what it took to come up.
+        track.samples.drain(..before.samples.len().saturating_sub(1));
+        track
+    });
+    let measured = Overhead {
+        rate,
+        through: through?,
+        straight: straight?,
+        proxy: proxy.into_iter().next().unwrap_or_default(),
+    };
+    stage.end().await;
+    Ok(measured)
+}
--- a/crates/lab/src/sockets/stage.rs
+++ b/crates/lab/src/sockets/stage.rs
@@ -49,7 +49,8 @@
     world: Arc<World>,
     program: PathBuf,
     limits: Limits,
-    folder: TempDir,
+    /// For the children's files; none once it is all over.
+    folder: Mutex<Option<TempDir>>,
     /// By machine: where its proxy listens.
     addresses: Vec<Option<SocketAddr>>,
     /// Where discovery is, and the first list, by tier and zone.
@@ -73,10 +74,12 @@
             mix(inner.world.seed, inner.started.fetch_add(1, Ordering::SeqCst) << 32 | u64::from(machine));
         let start = Start { name: &name, listen, discovery: *discovery, seed, known, limits: inner.limits };
         let config = config(&inner.world, machine, &start).ok_or_else(no_proxy)?;
+        let folder = held(&inner.folder);
+        let folder = folder.as_ref().ok_or_else(no_proxy)?;
+        let mut running = held(&inner.running);
         // Danger: one that only vanished still has the address.
-        held(&inner.running).remove(&machine);
-        let child = Child::start(&inner.program, inner.folder.path(), &name, listen, &config)?;
-        held(&inner.running).insert(machine, child);
+        running.remove(&machine);
+        running.insert(machine, Child::start(&inner.program, folder.path(), &name, listen, &config)?);
         Ok(listen)
     }
 
@@ -158,7 +161,7 @@
         let children = Children(Arc::new(Inner {
             program: setting.program,
             limits: setting.limits,
-            folder: TempDir::with_prefix("olivecart-lab-")?,
+            folder: Mutex::new(Some(TempDir::with_prefix("olivecart-lab-")?)),
             addresses: world.machines.iter().map(address).collect::<io::Result<_>>()?,
             discovery,
             running: Mutex::default(),
@@ -260,7 +263,10 @@
 impl Drop for Stage {
     fn drop(&mut self) {
         self.sampler.abort();
-        held(&self.children.0.running).clear(); // whoever else still holds the children
+        // Tasks that have not noticed their end yet may still hold the children.
+        let folder = held(&self.children.0.folder).take();
+        held(&self.children.0.running).clear();
+        drop(folder);
     }
 }
 
--- a/crates/lab/tests/sockets/stage.rs
+++ b/crates/lab/tests/sockets/stage.rs
@@ -6,6 +6,7 @@
 use olivecart_lab::sockets::child::{Child, ChildError, becomes_ready};
 use olivecart_lab::sockets::client::Pool;
 use olivecart_lab::sockets::load::Options;
+use olivecart_lab::sockets::overhead::measure;
 use olivecart_lab::sockets::proc::sample;
 use olivecart_lab::sockets::program::{Build, find};
 use olivecart_lab::sockets::settings::Limits;
@@ -115,3 +116,14 @@
     let ChildError::Ended { name, log, .. } = &ended else { panic!("{ended}") };
     assert!(name == "p" && log.contains("settings: missing"), "{ended}");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_a_proxy_costs_is_measured_by_the_same_load_on_both_ways() {
+    let measured = measure(&setting().program, 200.0, 2, 1).await.unwrap();
+    for way in [&measured.through, &measured.straight] {
+        let totals = &way.result.totals;
+        assert!(totals.offered > 300 && totals.failed == 0, "{totals:?}");
+    }
+    let requests = measured.requests_per_cpu_second();
+    assert!(measured.proxy.cpu_s() > 0.0 && requests > 10.0, "{measured}");
+}
