--- a/crates/lab/examples/overhead.rs
+++ b/crates/lab/examples/overhead.rs
@@ -4,6 +4,7 @@
 use argh::FromArgs;
 use olivecart_lab::sockets::overhead::measure;
 use olivecart_lab::sockets::program::{Build, find};
+use olivecart_lab::sockets::show::interrupted;
 use std::error::Error;
 use std::path::PathBuf;
 
@@ -32,7 +33,12 @@
     println!("{cores} cores; latencies are the 50th, 99th and 99.9th percentile in ms");
     let usual = vec![250.0, 500.0, 1000.0, 2000.0, 4000.0];
     for rate in if arguments.rate.is_empty() { usual } else { arguments.rate } {
-        println!("{}", measure(&program, rate, arguments.seconds, arguments.seed).await?);
+        tokio::select! {
+            measured = measure(&program, rate, arguments.seconds, arguments.seed) => {
+                println!("{}", measured?);
+            }
+            caught = interrupted() => return Ok(caught?),
+        }
     }
     Ok(())
 }
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -65,8 +65,8 @@
     Interrupted,
 }
 
-/// Gives the demonstration, and says on `out` how it goes. Nothing is left running, also after an interrupt, a
-/// SIGTERM or a SIGHUP. Only a SIGKILL leaves the proxies.
+/// Gives the demonstration, and says on `out` how it goes. Nothing is left running, also after an interrupt,
+/// a SIGTERM or a SIGHUP. Only a SIGKILL leaves the proxies.
 ///
 /// # Errors
 /// Something does not come up, or somebody ended it.
--- a/crates/lab/src/sockets/child.rs
+++ b/crates/lab/src/sockets/child.rs
@@ -58,9 +58,9 @@
 }
 
 impl Child {
-    /// Starts `olivecart serve` with a configuration; its files go into a folder. It has a process group of its
-    /// own. Danger: an interrupt from the terminal would reach it too, and it would leave before whoever started
-    /// it has seen the interrupt.
+    /// Starts `olivecart serve` with a configuration; its files go into a folder. It has a process group of
+    /// its own. Danger: an interrupt from the terminal would reach it too, and it would leave before whoever
+    /// started it has seen the interrupt.
     ///
     /// # Errors
     /// The program cannot be started.
@@ -156,8 +156,8 @@
     }
 }
 
-/// Waits until a proxy says that it is ready, as long as `runs` does not say why it will not be. False: it did
-/// not become ready in time.
+/// Waits until a proxy says that it is ready, as long as `runs` does not say why it will not be. False: it
+/// did not become ready in time.
 pub async fn becomes_ready<E>(
     listen: SocketAddr,
     mut runs: impl FnMut() -> Result<(), E>,
--- a/crates/lab/src/sockets/client.rs
+++ b/crates/lab/src/sockets/client.rs
@@ -17,8 +17,8 @@
 use tokio::sync::Semaphore;
 use tokio::task::AbortHandle;
 
-/// A connection that has been idle for this long is not used again. Danger: peers close idle ones, and a request
-/// that crosses their closing is lost.
+/// A connection that has been idle for this long is not used again. Danger: peers close idle ones, and a
+/// request that crosses their closing is lost.
 const IDLE: Duration = Duration::from_secs(5);
 
 /// How a call came to no answer.
@@ -94,8 +94,8 @@
         self.waited.load(Ordering::Relaxed)
     }
 
-    /// Sends a request and waits for its whole answer. Dropped before that, it closes the connection. A request
-    /// that a kept connection did not take any more goes out on a new one.
+    /// Sends a request and waits for its whole answer. Dropped before that, it closes the connection. A
+    /// request that a kept connection did not take any more goes out on a new one.
     ///
     /// # Errors
     /// No connection came up, or it broke.
--- a/crates/lab/src/sockets/clock.rs
+++ b/crates/lab/src/sockets/clock.rs
@@ -53,8 +53,8 @@
     earlier: Condvar,
 }
 
-/// Makes calls when they are due, from a thread of its own. Danger: the runtime's timers go by the millisecond,
-/// which is much of a server's work.
+/// Makes calls when they are due, from a thread of its own. Danger: the runtime's timers go by the
+/// millisecond, which is much of a server's work.
 pub struct Alarm {
     shared: Arc<Shared>,
     thread: Option<JoinHandle<()>>,
--- a/crates/lab/src/sockets/effects.rs
+++ b/crates/lab/src/sockets/effects.rs
@@ -1,5 +1,5 @@
-//! Who did what already: the key tables of a tier's servers, seen together, so that an effect which took place
-//! twice is found wherever that was.
+//! Who did what already: the key tables of a tier's servers, seen together, so that an effect which took
+//! place twice is found wherever that was.
 //!
 //! An execution counts when it has run to its end, whether or not anybody gets the answer.
 
--- a/crates/lab/src/sockets/fleet/discovery.rs
+++ b/crates/lab/src/sockets/fleet/discovery.rs
@@ -224,7 +224,7 @@
 }
 
 fn text(document: &Document) -> Bytes {
-    let mut text = serde_json::to_vec(document).unwrap_or_default(); // plain numbers and texts always are JSON
+    let mut text = serde_json::to_vec(document).unwrap_or_default(); // of numbers and texts alone
     text.push(b'\n');
     text.into()
 }
--- a/crates/lab/src/sockets/fleet/mod.rs
+++ b/crates/lab/src/sockets/fleet/mod.rs
@@ -1,9 +1,9 @@
 //! A scenario's servers and its discovery on loopback.
 //!
 //! Where it differs from the world: connections between clients and first-tier proxies have no delay of their
-//! own; a zone's loss and a partition hold between proxies and servers and between proxies and discovery, whose
-//! sockets stay silent as in the world, but connections to a proxy that has vanished are still acknowledged by
-//! this machine; and work done in vain is known to each tier only for itself.
+//! own; a zone's loss and a partition hold between proxies and servers and between proxies and discovery,
+//! whose sockets stay silent as in the world, but connections to a proxy that has vanished are still
+//! acknowledged by this machine; and work done in vain is known to each tier only for itself.
 
 mod discovery;
 mod node;
@@ -76,7 +76,8 @@
 pub trait Proxies: Send + Sync {
     /// Starts one, and waits until it is ready. An error says why it is not.
     fn start(&self, machine: u32) -> BoxFuture<'static, Result<SocketAddr, String>>;
-    /// One dies with its machine. Silently: nobody is told, and its connections stay open until it starts again.
+    /// One dies with its machine. Silently: nobody is told, and its connections stay open until it starts
+    /// again.
     fn dies(&self, machine: u32, silently: bool);
 }
 
--- a/crates/lab/src/sockets/fleet/node.rs
+++ b/crates/lab/src/sockets/fleet/node.rs
@@ -118,8 +118,8 @@
         self.with(|machine, now| machine.advance(now.max(due)));
     }
 
-    /// A request has arrived. The second: what it hears of its first part. A cold server that bears no more of
-    /// them falls over, and ends.
+    /// A request has arrived. The second: what it hears of its first part. A cold server that bears no more
+    /// of them falls over, and ends.
     pub fn arrive(self: &Arc<Node>, ask: Ask) -> (Ticket, Hears) {
         let (sender, hears) = oneshot::channel();
         let now = self.clock.now();
@@ -256,6 +256,11 @@
 }
 
 impl Life {
+    /// Whether it has ended.
+    pub fn is_over(&self) -> bool {
+        *self.changes.borrow() != self.number
+    }
+
     /// Resolves when it has ended.
     pub async fn ended(&mut self) {
         let number = self.number;
--- a/crates/lab/src/sockets/fleet/serve.rs
+++ b/crates/lab/src/sockets/fleet/serve.rs
@@ -64,11 +64,13 @@
 }
 
 /// Counts as a connection while it lives.
-struct Counted(Arc<Node>);
+struct Counted(Arc<Node>, Life);
 
 impl Drop for Counted {
     fn drop(&mut self) {
-        self.0.disconnect();
+        if !self.1.is_over() {
+            self.0.disconnect();
+        }
     }
 }
 
@@ -89,7 +91,7 @@
     }
 
     async fn connection(self, line: Line) {
-        let counted = self.node.connect().then(|| Counted(self.node.clone()));
+        let counted = self.node.connect().then(|| Counted(self.node.clone(), self.life.clone()));
         let (has_room, connections) =
             (counted.is_some(), self.node.place.kind(&self.shared.world).connections);
         let trips = connections.handshake_rtts * 2;
@@ -149,11 +151,11 @@
         Ok(with_report(plain(StatusCode::OK, body), report.as_deref()))
     }
 
-    /// Runs a request to its answer. The caller may go meanwhile; what becomes of it then is the kind's affair,
-    /// so that it runs in a task of its own.
+    /// Runs a request to its answer. The caller may go meanwhile; what becomes of it then is the kind's
+    /// affair, so that it runs in a task of its own.
     async fn run(self: &Arc<Self>, asked: Asked) -> Reply {
         let breaks = self.shared.resets(&self.node);
-        let ask = Ask { part: asked.part, until: asked.until };
+        let ask = Ask { part: asked.part, calls: asked.calls, until: asked.until };
         let (ticket, hears) = self.node.arrive(ask);
         let job = tokio::spawn(Job { caller: self.clone(), asked, ticket }.run(hears));
         let mut waits = Waits { node: self.node.clone(), ticket: Some(ticket), job: job.abort_handle() };
--- a/crates/lab/src/sockets/load/mod.rs
+++ b/crates/lab/src/sockets/load/mod.rs
@@ -161,8 +161,8 @@
         Live(self.shared.clone())
     }
 
-    /// Sends all of it, beginning at a time, and waits for the last answer: no longer than the longest deadline
-    /// after the last request was due. Dropped before that, it ends at once.
+    /// Sends all of it, beginning at a time, and waits for the last answer: no longer than the longest
+    /// deadline after the last request was due. Dropped before that, it ends at once.
     ///
     /// # Errors
     /// The thread that keeps the schedule cannot be started.
@@ -266,8 +266,8 @@
         let bound = self.options.lag.as_secs_f64() * 1e3;
         if lag.p99_ms > bound {
             reasons.push(format!(
-                "the load fell behind its schedule: of the requests, a hundredth began {:.1} ms late or more, \
-                 where {bound:.1} ms is allowed",
+                "the load fell behind its schedule: a hundredth of the requests began {:.1} ms late or more, \
+                 {bound:.1} ms is allowed",
                 lag.p99_ms
             ));
         }
--- a/crates/lab/src/sockets/load/request.rs
+++ b/crates/lab/src/sockets/load/request.rs
@@ -132,7 +132,7 @@
         request = request.header(protocol::KEY, &key);
         body = key.into();
     }
-    request.body(Full::new(body)).unwrap_or_default() // of plain texts; names of classes and tenants are checked
+    request.body(Full::new(body)).unwrap_or_default() // of texts that were checked
 }
 
 fn verdict(shared: &Shared, answer: &Answer, id: &str) -> Verdict {
--- a/crates/lab/src/sockets/load/schedule.rs
+++ b/crates/lab/src/sockets/load/schedule.rs
@@ -43,8 +43,8 @@
 }
 
 impl Schedule {
-    /// Draws the schedule of a scenario: arrivals of a Poisson process whose rate varies, by thinning (Lewis and
-    /// Shedler 1979).
+    /// Draws the schedule of a scenario: arrivals of a Poisson process whose rate varies, by thinning (Lewis
+    /// and Shedler 1979).
     ///
     /// # Errors
     /// It would be too long.
@@ -182,8 +182,8 @@
     }
 }
 
-/// After how long a client tries again, if it does: the try with this number, from 0, ended at `now` (nanoseconds
-/// since the begin).
+/// After how long a client tries again, if it does: the try with this number, from 0, ended at `now`
+/// (nanoseconds since the begin).
 pub fn again_in(world: &World, of: &Planned, number: u32, ended: Verdict, now: u64) -> Option<u64> {
     let (clients, class) = (&world.scenario.clients, &world.scenario.class[of.class]);
     let storm = world.timeline.storm(now);
@@ -212,15 +212,16 @@
     use crate::scenario::Scenario;
 
     fn world(clients: &str, rest: &str, seed: u64) -> World {
+        let times = r#"aim = "1s", deadline = "2s", work = { dist = "fixed", mean = "1ms" }"#;
         let text = format!(
             r#"version = 1
             name = "test"
             length = "100s"
             class = [
-                {{ name = "read", share = 3.0, aim = "1s", deadline = "2s", effect = "repeatable", work = {{ dist = "fixed", mean = "1ms" }} }},
-                {{ name = "once", aim = "1s", deadline = "2s", effect = "once", work = {{ dist = "fixed", mean = "1ms" }} }},
-                {{ name = "all", aim = "1s", deadline = "2s", effect = "by_key", window = "1s", work = {{ dist = "fixed", mean = "1ms" }} }},
-                {{ name = "cell", aim = "1s", deadline = "2s", effect = "by_key", group = "cell", window = "1s", work = {{ dist = "fixed", mean = "1ms" }} }}]
+                {{ name = "read", share = 3.0, effect = "repeatable", {times} }},
+                {{ name = "once", effect = "once", {times} }},
+                {{ name = "all", effect = "by_key", window = "1s", {times} }},
+                {{ name = "cell", effect = "by_key", group = "cell", window = "1s", {times} }}]
             tenant = [{{ name = "a", share = 0.5 }}, {{ name = "b", share = 0.01, traffic = 0.5 }}]
             clients = {{ rate = 100.0, {clients} }}
             tier = [{{ name = "t", servers = 1, kind = [{{ name = "k", cores = 1 }}] }}]
@@ -261,7 +262,12 @@
         let bursts = Schedule::draw(&world(bursts, "", 1)).unwrap();
         assert!((between(&bursts, 0, 10) / between(&bursts, 10, 20) - 5.0).abs() < 0.7);
         assert!((between(&bursts, 0, 100) / 10_000.0 - 1.0).abs() < 0.05);
-        let flood = r#"fault = [{ kind = "tenant_flood", start = "20s", length = "20s", strength = 5.0, tenant = "b" }]"#;
+        let flood = r#"[[fault]]
+            kind = "tenant_flood"
+            start = "20s"
+            length = "20s"
+            strength = 5.0
+            tenant = "b""#;
         let flood = Schedule::draw(&world("", flood, 1)).unwrap();
         assert!((between(&flood, 20, 40) / between(&flood, 0, 20) - 3.0).abs() < 0.3);
     }
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -2,8 +2,8 @@
 //! wait for each other, proxies as children, and a stage that brings all of it up on loopback.
 //!
 //! Who plays and what goes wrong when is drawn as for the model ([`World`](crate::model::World)), so that one
-//! seed means the same in both. What decides is plain: a server's queue and cores ([`server`]), the key tables
-//! ([`effects`]), and discovery's list ([`registry`]). The rest moves bytes.
+//! seed means the same in both. What decides is plain: a server's queue and cores ([`server`]), the key
+//! tables ([`effects`]), and discovery's list ([`registry`]). The rest moves bytes.
 
 pub mod chance;
 pub mod child;
--- a/crates/lab/src/sockets/overhead.rs
+++ b/crates/lab/src/sockets/overhead.rs
@@ -17,10 +17,16 @@
 version = 1
 name = "overhead"
 length = "10s"
-class = [{ name = "read", aim = "1s", deadline = "5s", effect = "repeatable", work = { dist = "fixed", mean = "1ms" } }]
 clients = { rate = 1.0 }
 network = { same_zone = "20us", cross_zone = "20us", client = "20us", jitter = 0.0 }
 tier = [{ name = "app", servers = 4, proxies = 1, kind = [{ name = "box", cores = 64 }] }]
+
+[[class]]
+name = "read"
+aim = "1s"
+deadline = "5s"
+effect = "repeatable"
+work = { dist = "fixed", mean = "1ms" }
 "#;
 
 /// Why nothing is measured.
--- a/crates/lab/src/sockets/program.rs
+++ b/crates/lab/src/sockets/program.rs
@@ -20,7 +20,7 @@
     Build(String),
     /// This program does not know where it is itself.
     #[error("the path of this program: {0}")]
-    Self_(std::io::Error),
+    Unknown(std::io::Error),
 }
 
 /// When cargo is asked to build the program: only where cargo has started this one.
@@ -41,7 +41,7 @@
         let is_there = path.is_file();
         return is_there.then(|| path.to_owned()).ok_or_else(|| NoProgram::NotThere(path.to_owned()));
     }
-    let this = std::env::current_exe().map_err(NoProgram::Self_)?;
+    let this = std::env::current_exe().map_err(NoProgram::Unknown)?;
     let beside = folder(&this).join(NAME);
     let cargo = (std::env::var_os("CARGO"), std::env::var_os("CARGO_MANIFEST_DIR"));
     if let (Some(cargo), Some(package)) = cargo
--- a/crates/lab/src/sockets/server/machine.rs
+++ b/crates/lab/src/sockets/server/machine.rs
@@ -17,6 +17,8 @@
 pub struct Ask {
     /// Its work here up to its end or its next call to the tier below, on a core of speed 1.
     pub part: u64,
+    /// Calls that it makes; each is followed by as much work again.
+    pub calls: u32,
     /// When its sender stops waiting.
     pub until: Option<u64>,
 }
@@ -224,7 +226,7 @@
         let ticket = self.next;
         self.next += 1;
         self.tally.attempts += 1;
-        self.press(now, ask.part as f64);
+        self.press(now, ask.part as f64 * f64::from(ask.calls + 1));
         let error_rate = self.errors.max(self.shape.kind.error_rate);
         let free = self.in_slots < self.shape.kind.slots;
         let job = Job { ask, stage: Stage::Waits, done: 0.0, called_off: false };
@@ -451,8 +453,8 @@
         self.ends.push(Reverse((ends, ticket)));
     }
 
-    /// Work has reached it. Danger: what it turns away presses it too; only that makes a flood of a cold server
-    /// as harmful as it is.
+    /// Work has reached it. Danger: what it turns away presses it too; only that makes a flood of a cold
+    /// server as harmful as it is.
     fn press(&mut self, now: u64, work: f64) {
         if !self.pace.is_cold(now) {
             return;
--- a/crates/lab/src/sockets/server/tests.rs
+++ b/crates/lab/src/sockets/server/tests.rs
@@ -89,7 +89,7 @@
 fn what_is_over_when_its_turn_comes_costs_nothing() {
     let mut bench = Bench::new("cores=1\nslots=1");
     let first = bench.arrive(0, 10);
-    let over = bench.ask(0, Ask { until: Some(9 * MS), part: 10 * MS });
+    let over = bench.ask(0, Ask { until: Some(9 * MS), part: 10 * MS, calls: 0 });
     let other = bench.arrive(0, 10);
     assert_eq!(bench.until(10), [(first, Said::Ran)]);
     assert_eq!(bench.until(20), [(over, Said::Over), (other, Said::Ran)]);
@@ -207,7 +207,7 @@
             }
         }
         now = next;
-        let ask = Ask { part: exponential(MS as f64, chance), until: None };
+        let ask = Ask { part: exponential(MS as f64, chance), ..Ask::default() };
         came.insert(bench.machine.arrive(now, ask), now);
     }
     let mean = in_all / f64::from(left) / MS as f64;
--- a/crates/lab/src/sockets/settings.rs
+++ b/crates/lab/src/sockets/settings.rs
@@ -157,19 +157,63 @@
             name = "test"
             length = "1s"
             zones = ["a", "b"]
-            class = [
-                { name = "read", aim = "100ms", deadline = "1s", worth = 2.5, late_worth = 0.25, effect = "repeatable", work = { dist = "fixed", mean = "3ms" } },
-                { name = "book", aim = "200ms", deadline = "2s", effect = "by_key", group = "cell", window = "7s", work = { dist = "fixed", mean = "3ms" } },
-                { name = "pay", aim = "200ms", deadline = "2s", effect = "once", work = { dist = "fixed", mean = "3ms" } }]
             tenant = [{ name = "x", share = 0.4 }, { name = "y", share = 0.2 }]
             over_share_worth = 0.125
             clients = { load = 0.5 }
             discovery = { mode = "watch" }
-            limits = { max_attempts = 5, cancel = false, max_retry_after = "3s", connect_timeout = "70ms", most_held = 99, passes_deadline = false }
-            rules = { cold_share = 0.3, cold_time = "4s", fall_multiple = 2.5, fall_window = "2s", drain_grace = "300ms", must_ask_in = "6s", answer_grace = "15ms" }
-            tier = [
-                { name = "t", servers = 5, proxies = 3, kind = [{ name = "k", cores = 1 }] },
-                { name = "u", servers = 2, kind = [{ name = "k", cores = 1, report = { period = "1s" }, connections = { idle = "8s" } }] }]"#;
+
+            [[class]]
+            name = "read"
+            aim = "100ms"
+            deadline = "1s"
+            worth = 2.5
+            late_worth = 0.25
+            effect = "repeatable"
+            work = { dist = "fixed", mean = "3ms" }
+
+            [[class]]
+            name = "book"
+            aim = "200ms"
+            deadline = "2s"
+            effect = "by_key"
+            group = "cell"
+            window = "7s"
+            work = { dist = "fixed", mean = "3ms" }
+
+            [[class]]
+            name = "pay"
+            aim = "200ms"
+            deadline = "2s"
+            effect = "once"
+            work = { dist = "fixed", mean = "3ms" }
+
+            [limits]
+            max_attempts = 5
+            cancel = false
+            max_retry_after = "3s"
+            connect_timeout = "70ms"
+            most_held = 99
+            passes_deadline = false
+
+            [rules]
+            cold_share = 0.3
+            cold_time = "4s"
+            fall_multiple = 2.5
+            fall_window = "2s"
+            drain_grace = "300ms"
+            must_ask_in = "6s"
+            answer_grace = "15ms"
+
+            [[tier]]
+            name = "t"
+            servers = 5
+            proxies = 3
+            kind = [{ name = "k", cores = 1 }]
+
+            [[tier]]
+            name = "u"
+            servers = 2
+            kind = [{ name = "k", cores = 1, report = { period = "1s" }, connections = { idle = "8s" } }]"#;
         let scenario = Scenario::parse("test", text).unwrap().into_inner();
         let world = World::new(scenario, 1, "olivecart", named("olivecart").unwrap(), false);
         let mut proxies = 0;
--- a/crates/lab/src/sockets/stage.rs
+++ b/crates/lab/src/sockets/stage.rs
@@ -1,5 +1,5 @@
-//! A whole scenario on loopback: servers and discovery, the proxy beside each server that calls another tier, and
-//! the first tier's proxies. Real proxies, as children.
+//! A whole scenario on loopback: servers and discovery, the proxy beside each server that calls another tier,
+//! and the first tier's proxies. Real proxies, as children.
 
 use super::child::{Child, ChildError, becomes_ready};
 use super::fleet::{Fleet, FleetError, Proxies, Record};
@@ -235,7 +235,8 @@
         held(&self.children.0.tracks).all().to_vec()
     }
 
-    /// What went wrong that the scenario did not mean to: proxies that ended by themselves, or did not come up.
+    /// What went wrong that the scenario did not mean to: proxies that ended by themselves, or did not come
+    /// up.
     pub fn troubles(&self) -> Vec<String> {
         let mut troubles = self.fleet.troubles();
         let machines: Vec<u32> = held(&self.children.0.running).keys().copied().collect();
--- a/crates/lab/src/sockets/stream.rs
+++ b/crates/lab/src/sockets/stream.rs
@@ -1,5 +1,5 @@
-//! Sockets as the stand-ins use them: addresses of a run's own on loopback, listeners that can fall silent, and
-//! streams that end like those of a process that died.
+//! Sockets as the stand-ins use them: addresses of a run's own on loopback, listeners that can fall silent,
+//! and streams that end like those of a process that died.
 
 use super::held;
 use socket2::SockRef;
@@ -23,8 +23,8 @@
 /// A connection on loopback that has not come up by now will not.
 const NEVER: Duration = Duration::from_millis(50);
 
-/// An address of a run's own in 127.0.0.0/8, on which it deals out ports one after another. Danger: a port that
-/// was free a moment ago on 127.0.0.1 may be some connection's by the time that a child listens on it.
+/// An address of a run's own in 127.0.0.0/8, on which it deals out ports one after another. Danger: a port
+/// that was free a moment ago on 127.0.0.1 may be some connection's by the time that a child listens on it.
 #[derive(Debug)]
 pub struct Loopback {
     ip: IpAddr,
@@ -137,8 +137,8 @@
         Door { listener, silence, own: Vec::new() }
     }
 
-    /// The next connection. While it is silent none comes up: the listener's queue is full, and what comes then
-    /// is not even acknowledged.
+    /// The next connection. While it is silent none comes up: the listener's queue is full, and what comes
+    /// then is not even acknowledged.
     ///
     /// # Errors
     /// As the listener's, and when no connections can be made to it.
--- a/crates/lab/tests/demo.rs
+++ b/crates/lab/tests/demo.rs
@@ -1,5 +1,5 @@
-//! The demonstration, to its end and interrupted: nothing is left running. A program of its own, since it looks at
-//! all children of its process, and sends signals to itself.
+//! The demonstration, to its end and interrupted: nothing is left running. A program of its own, since it
+//! looks at all children of its process, and sends signals to itself.
 
 use olivecart_lab::demo::{DemoError, Options, demo};
 use olivecart_lab::sockets::program::{Build, find};
--- a/crates/lab/tests/sockets/common.rs
+++ b/crates/lab/tests/sockets/common.rs
@@ -11,14 +11,15 @@
 
 /// A scenario with a class of each effect and fast discovery, and whatever else is given.
 pub fn scenario(rest: &str) -> Scenario {
+    let times = r#"aim = "1s", deadline = "3s", work = { dist = "fixed", mean = "1ms" }"#;
     let text = format!(
         r#"
         version = 1
         name = "test"
         length = "30s"
         class = [
-            {{ name = "read", aim = "1s", deadline = "3s", effect = "repeatable", work = {{ dist = "fixed", mean = "1ms" }} }},
-            {{ name = "book", aim = "1s", deadline = "3s", effect = "by_key", group = "cell", window = "10s", work = {{ dist = "fixed", mean = "1ms" }} }},
+            {{ name = "read", effect = "repeatable", {times} }},
+            {{ name = "book", effect = "by_key", group = "cell", window = "10s", {times} }},
         ]
         clients = {{ rate = 100.0 }}
         discovery = {{ lag = "1ms", calls_per_s = 10000.0 }}
--- a/crates/lab/tests/sockets/fleet.rs
+++ b/crates/lab/tests/sockets/fleet.rs
@@ -13,7 +13,13 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-const ONE_TIER: &str = r#"tier = [{ name = "t", servers = 2, cell_size = 1, kind = [{ name = "k", cores = 1, slots = 1, queue = 1, report = { period = "1ms" } }] }]"#;
+const ONE_TIER: &str = r#"
+    [[tier]]
+    name = "t"
+    servers = 2
+    cell_size = 1
+    kind = [{ name = "k", cores = 1, slots = 1, queue = 1, report = { period = "1ms" } }]
+"#;
 
 /// A watch, line by line; what belongs to the framing is left out.
 struct Watch(Lines<BufReader<TcpStream>>);
@@ -57,9 +63,9 @@
 #[tokio::test]
 async fn discovery_tells_the_list_and_its_changes_and_watches_end_with_it() {
     let fleet = fleet(&scenario(&format!(
-        r#"{ONE_TIER}
-        fault = [{{ kind = "rolling_deploy", start = "0s", length = "200ms", part = 0.5, strength = 0.5 }},
-                 {{ kind = "discovery_outage", start = "400ms", length = "60s" }}]"#
+        r#"fault = [{{ kind = "rolling_deploy", start = "0s", length = "200ms", part = 0.5, strength = 0.5 }},
+                 {{ kind = "discovery_outage", start = "400ms", length = "60s" }}]
+        {ONE_TIER}"#
     )));
     let discovery = fleet.discovery(0, 0);
     let first = list(discovery).await;
@@ -129,8 +135,8 @@
 #[tokio::test]
 async fn a_crash_resets_connections_refuses_new_ones_and_ends_cold() {
     let fleet = fleet(&scenario(&format!(
-        r#"{ONE_TIER}
-        fault = [{{ kind = "crash", start = "100ms", length = "300ms" }}]"#
+        r#"fault = [{{ kind = "crash", start = "100ms", length = "300ms" }}]
+        {ONE_TIER}"#
     )));
     let (discovery, to) = (fleet.discovery(0, 0), fleet.servers(0, 0)[0].1);
     let mut watch = Watch::begin(discovery, 1).await;
@@ -154,8 +160,8 @@
 #[tokio::test]
 async fn a_hang_passes_probes_and_answers_nothing_until_it_ends() {
     let fleet = fleet(&scenario(&format!(
-        r#"{ONE_TIER}
-        fault = [{{ kind = "hang", start = "0s", length = "700ms" }}]"#
+        r#"fault = [{{ kind = "hang", start = "0s", length = "700ms" }}]
+        {ONE_TIER}"#
     )));
     let (to, begin) = (fleet.servers(0, 0)[0].1, Instant::now());
     fleet.begin(begin);
@@ -172,8 +178,8 @@
 #[tokio::test]
 async fn faults_of_single_requests_end_them_as_they_should() {
     let fleet = fleet(&scenario(&format!(
-        r#"{ONE_TIER}
-        fault = [{{ kind = "resets", start = "0s", length = "60s", strength = 1.0 }}]"#
+        r#"fault = [{{ kind = "resets", start = "0s", length = "60s", strength = 1.0 }}]
+        {ONE_TIER}"#
     )));
     let pool = Pool::new(fleet.servers(0, 0)[0].1, 1);
     on(&pool, get("/health/live")).await.unwrap(); // so that the player of faults has had its turn
@@ -209,9 +215,18 @@
     fn dies(&self, _: u32, _: bool) {}
 }
 
-const TWO_TIERS: &str = r#"tier = [
-    { name = "t", servers = 1, kind = [{ name = "k", cores = 1, cancel = "running" }] },
-    { name = "u", servers = 1, calls = 3.0, kind = [{ name = "k", cores = 1, slots = 1, queue = 1, cancel = "running" }] }]"#;
+const TWO_TIERS: &str = r#"
+    [[tier]]
+    name = "t"
+    servers = 1
+    kind = [{ name = "k", cores = 1, cancel = "running" }]
+
+    [[tier]]
+    name = "u"
+    servers = 1
+    calls = 3.0
+    kind = [{ name = "k", cores = 1, slots = 1, queue = 1, cancel = "running" }]
+"#;
 
 async fn two_tiers() -> (Fleet, SocketAddr, SocketAddr) {
     let mut fleet = fleet(&scenario(TWO_TIERS));
@@ -242,7 +257,8 @@
 #[tokio::test]
 async fn who_gives_up_takes_its_calls_along() {
     let (fleet, first, _) = two_tiers().await;
-    let asked = call(first, request("read", &[("x-extras", "work_us=2000000")])); // half a second here, then there
+    // Half a second here, then two there.
+    let asked = call(first, request("read", &[("x-extras", "work_us=2000000")]));
     let arrives = async {
         while fleet.record().servers[1].attempts == 0 {
             tokio::time::sleep(Duration::from_millis(10)).await;
--- a/crates/lab/tests/sockets/stage.rs
+++ b/crates/lab/tests/sockets/stage.rs
@@ -25,7 +25,7 @@
 fn small(length: &str, rest: &str) -> Arc<World> {
     let mut scenario = scenario(&format!(
         r#"tier = [
-            {{ name = "t", servers = 3, proxies = 2, kind = [{{ name = "k", cores = 4, report = {{ period = "100ms" }} }}] }},
+            {{ name = "t", servers = 3, proxies = 2, kind = [{{ name = "k", cores = 4 }}] }},
             {{ name = "u", servers = 2, calls = 2.0, kind = [{{ name = "k", cores = 4 }}] }}]
         {rest}"#
     ));
--- a/crates/lab/tests/sockets_load/main.rs
+++ b/crates/lab/tests/sockets_load/main.rs
@@ -1,5 +1,5 @@
-//! What the load measures, against a stand-in that keeps its own record. A program of its own, so that no other
-//! tests run beside it.
+//! What the load measures, against a stand-in that keeps its own record. A program of its own, so that no
+//! other tests run beside it.
 
 #[path = "../sockets/common.rs"]
 mod common;
@@ -106,9 +106,9 @@
     (begin, tokio::time::timeout(NEVER, load.run(begin)).await.unwrap().unwrap())
 }
 
-/// On a busy machine a run is unsound, and the tool says so: it is done again. Should all be, as much is allowed on
-/// top as the tool says that it was behind. Each percentile lies well inside of a plateau, so that single
-/// answers that were read late do not decide.
+/// On a busy machine a run is unsound, and the tool says so: it is done again. Should all be, as much is
+/// allowed on top as the tool says that it was behind. Each percentile lies well inside of a plateau, so that
+/// single answers that were read late do not decide.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn it_measures_what_a_stand_in_did_to_within_a_millisecond() {
     let world = steady(800.0, 4);
