--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,6 +1,7 @@
 //! The lab: a model of the fleet in virtual time that drives the real decisions, the same scenarios on
 //! sockets, and experiments that compare.
 
+pub mod demo;
 pub mod engine;
 pub mod experiment;
 pub mod model;
@@ -10,3 +11,4 @@
 pub mod results;
 pub mod run;
 pub mod scenario;
+pub mod sockets;
