Fleet, load and demo on the lab's command line

Need: the stand-ins, the open-loop load and the demonstration could be reached from code alone.

Change: `olivecart-lab fleet` plays a scenario's servers, discovery and proxies on loopback, or writes the first tier's configurations for somebody else to start them; `load` sends a scenario's requests to an address; `demo` plays half a minute of three tiers with real proxies and writes its report. An interrupt ends each with all that it started.

--- a/crates/lab/src/cli/mod.rs
+++ b/crates/lab/src/cli/mod.rs
@@ -3,6 +3,7 @@
 mod experiments;
 mod log;
 mod run;
+mod sockets;
 
 use argh::FromArgs;
 use std::fmt::Display;
@@ -35,6 +36,9 @@
     Compare(experiments::Compare),
     Winners(experiments::Winners),
     Report(experiments::Report),
+    Fleet(sockets::Fleet),
+    Load(sockets::Load),
+    Demo(sockets::Demo),
     Check(run::Check),
     Schema(run::Schema),
 }
@@ -49,6 +53,9 @@
         Command::Compare(command) => command.run(),
         Command::Winners(command) => command.run(),
         Command::Report(command) => command.run(&log),
+        Command::Fleet(command) => command.run(&log),
+        Command::Load(command) => command.run(&log),
+        Command::Demo(command) => command.run(&log),
         Command::Check(command) => command.run(),
         Command::Schema(command) => command.run(),
     };
--- a/crates/lab/src/cli/run.rs
+++ b/crates/lab/src/cli/run.rs
@@ -120,6 +120,12 @@
     }
 }
 
+/// Appends a result to a file.
+pub fn store(path: &Path, result: &RunResult) -> Result<(), Box<dyn std::error::Error>> {
+    let (mut file, _) = Appender::open(path)?;
+    Ok(file.append(&Encoded::result(result)?)?)
+}
+
 /// The exit code that a result asks for.
 pub fn verdict(result: &RunResult) -> u8 {
     match (result.breaches.is_empty(), result.out_of_bounds.is_empty()) {
--- a/crates/lab/src/engine/queue.rs
+++ b/crates/lab/src/engine/queue.rs
@@ -160,7 +160,7 @@
 
     fn play(&mut self, bucket: u64) {
         std::mem::swap(&mut self.current, &mut self.near[bucket as usize]);
-        self.current.sort_unstable_by(|a, b| b.place.cmp(&a.place));
+        self.current.sort_unstable_by_key(|event| std::cmp::Reverse(event.place));
     }
 }
 
--- a/crates/lab/src/report/mod.rs
+++ b/crates/lab/src/report/mod.rs
@@ -88,11 +88,19 @@
     if count > MOST_RUNS {
         return Err(ReportError::Many(count));
     }
-    let text = page(&content)?;
-    std::fs::write(out, text).map_err(|error| ReportError::Write(out.to_owned(), error))?;
+    write(&content, out)?;
     Ok(content)
 }
 
+/// Writes a page of what is at hand.
+///
+/// # Errors
+/// The page cannot be written.
+pub fn write(content: &Content, out: &Path) -> Result<(), ReportError> {
+    let text = page(content)?;
+    std::fs::write(out, text).map_err(|error| ReportError::Write(out.to_owned(), error))
+}
+
 impl Content {
     fn add(&mut self, entry: Entry) {
         match entry.outcome {
