--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -33,6 +33,8 @@
 mod output;
 mod policy;
 mod refusal;
+#[cfg(feature = "sources")]
+pub mod source;
 mod summary;
 
 pub use catalog::{Catalog, ClusterView, FeedView, HeldView, RefusalView, Served, SourceView};
