Read the operators' file: sources of endpoints, clusters' limits, and rules that choose a cluster

Several clusters in one proxy need somebody to say where endpoints come from and which request goes where. The file is TOML, read and checked in one module without I/O; what is wrong is told with file, line and key, all at once. The most specific rule wins, whatever the order in the file; two rules that fit exactly the same requests are an error.

--- a/crates/membership/src/names.rs
+++ b/crates/membership/src/names.rs
@@ -1,6 +1,7 @@
 //! Names as types, so that a cluster's is never taken for an endpoint's. Cheap to clone; ordered by their
 //! bytes.
 
+use crate::refusal::Invalid;
 use std::fmt;
 use std::sync::Arc;
 
@@ -68,6 +69,16 @@
     Label
 }
 
+impl ClusterName {
+    /// What keeps this from being the name of a cluster, if anything.
+    ///
+    /// # Errors
+    /// What is wrong with it.
+    pub fn check(&self) -> Result<(), Invalid> {
+        fault_of(self.as_str()).map_or(Ok(()), |fault| Err(Invalid::ClusterName { fault }))
+    }
+}
+
 impl Default for Label {
     fn default() -> Label {
         Label("".into())
--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -30,6 +30,10 @@
     /// configuration file, instead of the one that EDGE_CONFIG names
     #[argh(option)]
     config: Option<PathBuf>,
+    /// operators' file with sources of endpoints, clusters and rules, instead of the one that
+    /// OLIVECART_CLUSTERS names; without either there is only the platform's registry
+    #[argh(option)]
+    clusters: Option<PathBuf>,
 }
 
 /// Read the configuration, say what is wrong with it or what it amounts to, and start nothing.
@@ -39,6 +43,10 @@
     /// configuration file, instead of the one that EDGE_CONFIG names
     #[argh(option)]
     config: Option<PathBuf>,
+    /// operators' file with sources of endpoints, clusters and rules, instead of the one that
+    /// OLIVECART_CLUSTERS names; without either there is only the platform's registry
+    #[argh(option)]
+    clusters: Option<PathBuf>,
 }
 
 /// Print the version.
@@ -53,14 +61,14 @@
             println!("olivecart {}", env!("CARGO_PKG_VERSION"));
             ExitCode::SUCCESS
         }
-        Command::Check(Check { config }) => match Config::from_environment(config) {
+        Command::Check(Check { config, clusters }) => match Config::from_environment(config, clusters) {
             Ok(config) => {
                 println!("{config}");
                 ExitCode::SUCCESS
             }
             Err(e) => fail(&e),
         },
-        Command::Serve(Serve { config }) => match Config::from_environment(config) {
+        Command::Serve(Serve { config, clusters }) => match Config::from_environment(config, clusters) {
             Ok(config) => serve(config),
             Err(e) => fail(&e),
         },
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -1,5 +1,7 @@
 //! The one place where configuration is read, given defaults and checked. Messages name the faulty key.
 
+use crate::operators::{self, Operators};
+use olivecart_decisions::ClassId;
 use olivecart_settings::{SettingsError, Site};
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -10,6 +12,9 @@
 /// Descriptors kept back for the listener, discovery, the log, the runtime, and clients over their share.
 const OWN_SOCKETS: usize = 48;
 
+/// The variable that names the operators' file.
+const CLUSTERS: &str = "OLIVECART_CLUSTERS";
+
 /// Why there is no usable configuration.
 #[derive(Debug, thiserror::Error)]
 pub enum ConfigError {
@@ -31,6 +36,12 @@
     /// The settings object is unusable.
     #[error(transparent)]
     Settings(#[from] SettingsError),
+    /// The operators' file cannot be read.
+    #[error("{CLUSTERS}: {path}: {error}", path = .0.display(), error = .1)]
+    NoOperators(PathBuf, std::io::Error),
+    /// The operators' file is unusable.
+    #[error(transparent)]
+    Operators(#[from] operators::Problems),
 }
 
 /// The file's keys; unknown ones are skipped.
@@ -86,6 +97,8 @@
     pub known: Option<String>,
     /// The settings, read.
     pub site: Site,
+    /// The operators' file, if there is one. It is not read again while all runs on.
+    pub operators: Option<Operators>,
     /// Where this was read, for reading it again.
     pub origin: Origin,
 }
@@ -169,12 +182,16 @@
 }
 
 impl Config {
-    /// Reads the file named on the command line or by EDGE_CONFIG, and the variables that override it.
-    pub fn from_environment(file: Option<PathBuf>) -> Result<Config, ConfigError> {
-        let path = file.or_else(|| std::env::var_os("EDGE_CONFIG").map(PathBuf::from));
-        let path = path.ok_or(ConfigError::NoFile)?;
-        let text = text(&path)?;
-        Config::read(path, File::parse(&text)?, |name| std::env::var(name).ok())
+    /// Reads the file named on the command line or by EDGE_CONFIG, and the variables that override it; and the
+    /// operators' file, if the command line or OLIVECART_CLUSTERS names one.
+    pub fn from_environment(file: Option<PathBuf>, clusters: Option<PathBuf>) -> Result<Config, ConfigError> {
+        let path = |given: Option<PathBuf>, name| given.or_else(|| std::env::var_os(name).map(PathBuf::from));
+        let file = path(file, "EDGE_CONFIG").ok_or(ConfigError::NoFile)?;
+        let text = text(&file)?;
+        let mut config = Config::read(file, File::parse(&text)?, |name| std::env::var(name).ok())?;
+        config.operators =
+            path(clusters, CLUSTERS).map(|file| operators_file(&file, &config.site)).transpose()?;
+        Ok(config)
     }
 
     fn read(
@@ -196,6 +213,7 @@
             sockets: share_out(&file.limits)?,
             known: file.known.map(|k| k.get().to_owned()),
             site: Site::read(settings.get())?,
+            operators: None,
             origin: Origin { path, said, listen, discovery },
         })
     }
@@ -213,10 +231,18 @@
             self.sockets.clients, self.sockets.backends
         )?;
         writeln!(f, "tier       {}, copy {} of {}", s.tier, s.me, s.group_size)?;
-        write!(f, "classes    {}, tenants {}", s.classes.len(), s.tenants.len())
+        write!(f, "classes    {}, tenants {}", s.classes.len(), s.tenants.len())?;
+        self.operators.iter().try_for_each(|operators| write!(f, "\n{operators}"))
     }
 }
 
+fn operators_file(path: &Path, site: &Site) -> Result<Operators, ConfigError> {
+    let text = std::fs::read_to_string(path).map_err(|e| ConfigError::NoOperators(path.to_owned(), e))?;
+    let class = |name: &str| site.classes.get(name).map(|class| ClassId(class as u16));
+    let beside = path.parent().unwrap_or(Path::new(""));
+    Ok(operators::read(&path.to_string_lossy(), &text, beside, &class)?)
+}
+
 /// A value with the name of the variable or key that it comes from.
 type Named = (&'static str, Option<String>);
 
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -15,6 +15,8 @@
 mod invariant;
 mod listen;
 mod membership;
+#[allow(dead_code)]
+mod operators;
 mod platform;
 mod reload;
 mod shutdown;
--- /dev/null
+++ b/crates/proxy/src/operators/rules.rs
@@ -0,0 +1,196 @@
+//! Which rule a request falls under. A pure table.
+//!
+//! A rule fits if all that it gives fits. Of several that fit, the most specific one counts, compared by these
+//! in turn: the authority (a whole host before a wildcard, a longer wildcard before a shorter, any before
+//! none), the path (a longer prefix before a shorter, any before none), the method (given before not), the
+//! class (given before not). Two rules that fit the same request and are equal in all of these give exactly the
+//! same; such a pair is an error when the file is read, so that the order of rules in it never matters.
+
+use olivecart_decisions::ClassId;
+use std::cmp::Reverse;
+
+/// What of a request rules look at.
+#[derive(Clone, Copy, Debug)]
+pub struct Traits<'a> {
+    /// The authority as the client gave it, with or without a port; empty if it gave none.
+    pub authority: &'a str,
+    /// The path as it came, without the query. It is not decoded and not normalised: a backend that reads
+    /// `/a/../b` as `/b` must not rely on rules to keep requests apart.
+    pub path: &'a str,
+    /// The method.
+    pub method: &'a str,
+    /// The class.
+    pub class: ClassId,
+}
+
+/// What a rule asks of a request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Criteria {
+    /// Lower case, without a port; with a leading `*.`, any host below.
+    pub authority: Option<String>,
+    /// A prefix of whole segments, without a slash at its end; empty for `/`, which every path has.
+    pub path: Option<String>,
+    /// The method.
+    pub method: Option<String>,
+    /// The class.
+    pub class: Option<ClassId>,
+}
+
+impl Criteria {
+    /// The greater, the more specific.
+    fn rank(&self) -> impl Ord + use<> {
+        let authority = self.authority.as_ref().map(|a| (!a.starts_with("*."), a.len()));
+        let path = self.path.as_ref().map(String::len);
+        (authority, path, self.method.is_some(), self.class.is_some())
+    }
+
+    fn fit(&self, request: &Traits) -> bool {
+        self.class.is_none_or(|class| class == request.class)
+            && self.method.as_deref().is_none_or(|method| method == request.method)
+            && self.path.as_deref().is_none_or(|prefix| below(request.path, prefix))
+            && self.authority.as_deref().is_none_or(|pattern| is_of(host(request.authority), pattern))
+    }
+}
+
+/// Whether a path is the prefix or lies below it.
+fn below(path: &str, prefix: &str) -> bool {
+    path.strip_prefix(prefix).is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+}
+
+/// An authority without its port and without the dot that may end a name.
+fn host(authority: &str) -> &str {
+    // Danger: in an IPv6 literal colons are no port.
+    let from = authority.rfind(']').unwrap_or(0);
+    let host = authority[from..].find(':').map_or(authority, |at| &authority[..from + at]);
+    host.strip_suffix('.').unwrap_or(host)
+}
+
+fn is_of(host: &str, pattern: &str) -> bool {
+    let Some(suffix) = pattern.strip_prefix('*') else { return host.eq_ignore_ascii_case(pattern) };
+    let at = host.len().checked_sub(suffix.len()).filter(|at| *at > 0);
+    at.and_then(|at| host.get(at..)).is_some_and(|end| end.eq_ignore_ascii_case(suffix))
+}
+
+/// Rules, the most specific first, each with where it leads.
+#[derive(Debug)]
+pub struct Rules<T>(Vec<(Criteria, T)>);
+
+impl<T> Default for Rules<T> {
+    fn default() -> Rules<T> {
+        Rules(Vec::new())
+    }
+}
+
+impl<T> Rules<T> {
+    /// A table of rules in any order.
+    pub fn new(mut rules: Vec<(Criteria, T)>) -> Rules<T> {
+        rules.sort_by_key(|(criteria, _)| Reverse(criteria.rank()));
+        Rules(rules)
+    }
+
+    /// Where the most specific rule leads that fits; none if none does. Looks at each rule, and allocates
+    /// nothing.
+    pub fn find(&self, request: &Traits) -> Option<&T> {
+        self.0.iter().find(|(criteria, _)| criteria.fit(request)).map(|(_, target)| target)
+    }
+
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Where they lead.
+    pub fn targets(&self) -> impl Iterator<Item = &T> {
+        self.0.iter().map(|(_, target)| target)
+    }
+
+    /// The same rules, leading elsewhere.
+    pub fn map<U>(self, to: impl Fn(T) -> U) -> Rules<U> {
+        Rules(self.0.into_iter().map(|(criteria, target)| (criteria, to(target))).collect())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn rule(text: &str) -> (Criteria, String) {
+        let mut criteria = Criteria::default();
+        for word in text.split_whitespace() {
+            match word.split_once('=') {
+                Some(("a", v)) => criteria.authority = Some(v.into()),
+                Some(("p", v)) => criteria.path = Some(v.into()),
+                Some(("m", v)) => criteria.method = Some(v.into()),
+                Some(("c", v)) => criteria.class = v.parse().ok().map(ClassId),
+                _ => panic!("{word}"),
+            }
+        }
+        (criteria, text.to_owned())
+    }
+
+    fn traits(text: &str) -> Traits<'_> {
+        let [authority, path, method, class] = text.split(' ').collect::<Vec<_>>()[..] else {
+            panic!("{text}")
+        };
+        Traits { authority, path, method, class: ClassId(class.parse().expect("a number")) }
+    }
+
+    #[test]
+    fn each_criterion_fits_what_it_names_and_nothing_like_it() {
+        for (criterion, fitting, others) in [
+            ("p=/api", "/api /api/ /api/x /api//", "/ap /apis /v/api /API /%61pi"),
+            ("p=", "/ /x /x/y", ""),
+            ("a=shop", "shop SHOP shop:80 shop. shop.:80", "shop2 a.shop ashop shop:80.a [::1]:80"),
+            ("a=*.shop", "a.shop b.A.Shop:1 a.shop.", "shop .shop x a.shop2 éshop"),
+            ("a=[::1]", "[::1] [::1]:80", "[::2] ::1 [::1].a"),
+        ] {
+            let (criteria, _) = rule(criterion);
+            let fits = |value: &str| match criterion.starts_with('p') {
+                true => criteria.fit(&Traits { path: value, ..traits("h / GET 0") }),
+                false => criteria.fit(&Traits { authority: value, ..traits("h / GET 0") }),
+            };
+            fitting.split_whitespace().for_each(|value| assert!(fits(value), "{criterion} {value}"));
+            others.split_whitespace().for_each(|value| assert!(!fits(value), "{criterion} {value}"));
+        }
+        let (criteria, _) = rule("m=GET c=1");
+        assert!(criteria.fit(&traits("h / GET 1")));
+        assert!(!criteria.fit(&traits("h / get 1")) && !criteria.fit(&traits("h / GET 0")));
+    }
+
+    #[test]
+    fn the_most_specific_rule_counts_whatever_the_order_in_the_file() {
+        let texts = [
+            "c=1",
+            "m=GET",
+            "p=/a",
+            "p=/a m=GET",
+            "p=/a/b c=1",
+            "p=/a/b m=POST",
+            "a=*.t",
+            "a=*.s.t",
+            "a=x.s.t p=/z",
+        ];
+        let mut rules: Vec<_> = texts.iter().map(|text| rule(text)).collect();
+        for _ in 0..rules.len() {
+            rules.rotate_left(1);
+            let table = Rules::new(rules.clone());
+            for (request, expected) in [
+                ("h / GET 1", "m=GET"),
+                ("h / PUT 1", "c=1"),
+                ("h / PUT 0", ""),
+                ("h /a PUT 1", "p=/a"),
+                ("h /a GET 0", "p=/a m=GET"),
+                ("h /a/b/c GET 0", "p=/a m=GET"),
+                ("h /a/b/c GET 1", "p=/a/b c=1"),
+                ("h /a/b POST 1", "p=/a/b m=POST"),
+                ("x.t /a GET 1", "a=*.t"),
+                ("y.s.t /a GET 1", "a=*.s.t"),
+                ("x.s.t /a GET 1", "a=*.s.t"),
+                ("x.s.t /z/y GET 1", "a=x.s.t p=/z"),
+            ] {
+                let found = table.find(&traits(request)).map_or("", String::as_str);
+                assert_eq!(found, expected, "{request}");
+            }
+        }
+    }
+}
