Split what is one cluster's from what all share, and choose a cluster for each request

A second cluster needs its own decisions, connections, timers and limits, while ids of open requests, the limit to them, the clock and the descriptors stay the proxy's. The driver is now one cluster's; the book and the budget of descriptors are shared, and where it is used up, the endpoint with most idle connections of any cluster gives one up. A new stage between intake and admission puts a call to a cluster; without rules it looks at nothing of the call and copies a pointer. A cluster that is removed ends its tasks with its last request.

--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -4,6 +4,7 @@
 //! are open, and when an idle one goes is then decided here and not by a pool that shares them out.
 
 use crate::answer::Seen;
+use crate::descriptors::{Descriptors, Holder, Open};
 use crate::platform::BODY_LIMIT;
 use crate::wire::Wire;
 use actix_service::fn_service;
@@ -35,8 +36,8 @@
     /// It was kept from an earlier request.
     pub kept: bool,
     endpoint: EndpointId,
-    /// Counts as one open connection while it lives.
-    _open: Rc<()>,
+    /// Of all connections, and of this cluster's.
+    _open: [Open; 2],
 }
 
 struct Idle {
@@ -55,41 +56,69 @@
     ended_one: Option<Instant>,
 }
 
-/// All endpoints by number.
+/// Endpoints by number.
+#[derive(Default)]
+struct Table(RefCell<Vec<Backend>>);
+
+/// All endpoints of a cluster.
 pub struct Backends {
-    table: RefCell<Vec<Backend>>,
-    connect_timeout: Duration,
+    table: Rc<Table>,
+    connect_timeout: Cell<Duration>,
     idle_life: Duration,
     /// How many take requests.
     ready: Cell<usize>,
-    /// Most connections, idle ones included, and how many there are.
+    /// What all clusters share.
+    descriptors: Rc<Descriptors>,
+    /// Most connections of this one, idle ones included, and how many there are.
     most: Cell<usize>,
-    open: Rc<()>,
+    open: Open,
+}
+
+impl Holder for Table {
+    fn most_idle(&self) -> usize {
+        self.0.borrow().iter().map(|b| b.idle.len()).max().unwrap_or(0)
+    }
+
+    fn give_up(&self) {
+        let mut table = self.0.borrow_mut();
+        let fullest = table.iter_mut().max_by_key(|b| b.idle.len()).filter(|b| !b.idle.is_empty());
+        fullest.into_iter().for_each(|b| _ = b.idle.remove(0));
+    }
 }
 
 impl Backends {
     /// `idle_close`: the other side closes an idle connection after this; ours go well before.
-    pub fn new(connect_timeout: Duration, idle_close: Duration, most: usize) -> Backends {
+    pub fn new(connect_timeout: Duration, idle_close: Duration, descriptors: Rc<Descriptors>) -> Backends {
+        let table: Rc<Table> = Rc::default();
+        let holder = Rc::downgrade(&table);
+        descriptors.enter(holder);
         Backends {
-            table: RefCell::default(),
-            connect_timeout,
+            table,
+            connect_timeout: Cell::new(connect_timeout),
             idle_life: idle_close.mul_f64(KEPT),
             ready: Cell::new(0),
-            most: Cell::new(most),
+            descriptors,
+            most: Cell::new(usize::MAX),
             open: Rc::default(),
         }
     }
 
-    /// Another limit holds from now on.
-    pub fn adopt(&self, most: usize) {
+    /// Other limits hold for this cluster from now on.
+    pub fn adopt(&self, connect_timeout: Duration, most: usize) {
+        self.connect_timeout.set(connect_timeout);
         self.most.set(most);
     }
 
+    /// How many connections are open, idle ones included.
+    pub fn connections(&self) -> usize {
+        Rc::strong_count(&self.open) - 1
+    }
+
     /// Notes where an endpoint is. One that moved, or is another process now, has none of the old
     /// connections.
     pub fn place(&self, endpoint: EndpointId, addr: Option<SocketAddr>, started: Option<u64>, ready: bool) {
         let slot = endpoint.0 as usize;
-        let mut table = self.table.borrow_mut();
+        let mut table = self.table.0.borrow_mut();
         if table.len() <= slot {
             table.resize_with(slot + 1, Backend::default);
         }
@@ -101,15 +130,21 @@
         (backend.addr, backend.started, backend.ready) = (addr, started, ready);
     }
 
+    /// Nothing takes requests any more, and nothing is kept for one.
+    pub fn close(&self) {
+        self.forget_all();
+        self.sweep();
+    }
+
     /// A whole list follows: what it does not name takes no more requests.
     pub fn forget_all(&self) {
-        self.table.borrow_mut().iter_mut().for_each(|b| b.ready = false);
+        self.table.0.borrow_mut().iter_mut().for_each(|b| b.ready = false);
         self.ready.set(0);
     }
 
     /// Whether the list names an endpoint as ready.
     pub fn takes_requests(&self, endpoint: EndpointId) -> bool {
-        self.table.borrow().get(endpoint.0 as usize).is_some_and(|b| b.ready)
+        self.table.0.borrow().get(endpoint.0 as usize).is_some_and(|b| b.ready)
     }
 
     /// Whether it names any.
@@ -120,7 +155,7 @@
     /// A connection to an endpoint: the idle one used last, or a new one. None: nobody knows where it is, or
     /// there are no descriptors left for it.
     pub fn lease(&self, endpoint: EndpointId) -> Option<Lease> {
-        let mut table = self.table.borrow_mut();
+        let mut table = self.table.0.borrow_mut();
         let backend = table.get_mut(endpoint.0 as usize)?;
         let addr = backend.addr?;
         // Danger: one that ends connections right after an answer. Where that was seen lately, a connection is
@@ -133,17 +168,20 @@
                 return Some(Lease { kept: true, ..idle.lease });
             }
         }
-        if Rc::strong_count(&self.open) > self.most.get() {
-            // The one that has been idle longest, of whoever has most to spare, makes room.
-            let fullest = table.iter_mut().max_by_key(|b| b.idle.len()).filter(|b| !b.idle.is_empty())?;
-            fullest.idle.remove(0);
+        drop(table); // which may have to make room
+        if self.connections() >= self.most.get() {
+            self.table.give_up();
+            if self.connections() >= self.most.get() {
+                return None;
+            }
         }
-        Some(self.connection(endpoint, addr))
+        let open = [self.descriptors.take()?, self.open.clone()];
+        Some(self.connection(endpoint, addr, open))
     }
 
     /// Takes back a connection if it can carry another request and the endpoint is where it was and takes any.
     pub fn give_back(&self, lease: Lease) {
-        let mut table = self.table.borrow_mut();
+        let mut table = self.table.0.borrow_mut();
         if let Some(backend) = table.get_mut(lease.endpoint.0 as usize)
             && backend.addr == Some(lease.addr)
             && backend.ready
@@ -155,14 +193,14 @@
 
     /// Notes that an endpoint had ended a connection that was kept.
     pub fn ended_one(&self, endpoint: EndpointId) {
-        if let Some(backend) = self.table.borrow_mut().get_mut(endpoint.0 as usize) {
+        if let Some(backend) = self.table.0.borrow_mut().get_mut(endpoint.0 as usize) {
             backend.ended_one = Some(Instant::now());
         }
     }
 
     /// Closes the idle connections to an endpoint.
     pub fn close_idle(&self, endpoint: EndpointId) {
-        if let Some(backend) = self.table.borrow_mut().get_mut(endpoint.0 as usize) {
+        if let Some(backend) = self.table.0.borrow_mut().get_mut(endpoint.0 as usize) {
             backend.idle.clear();
         }
     }
@@ -170,22 +208,16 @@
     /// Closes what has been idle for long.
     pub fn sweep(&self) {
         let life = self.idle_life;
-        for backend in self.table.borrow_mut().iter_mut() {
+        for backend in self.table.0.borrow_mut().iter_mut() {
             let ready = backend.ready;
             backend.idle.retain(|idle| ready && idle.since.elapsed() < life);
         }
     }
 
-    fn connection(&self, endpoint: EndpointId, addr: SocketAddr) -> Lease {
+    fn connection(&self, endpoint: EndpointId, addr: SocketAddr, open: [Open; 2]) -> Lease {
         let seen = Rc::new(Seen::new(BODY_LIMIT));
-        Lease {
-            client: client(addr, self.connect_timeout, &seen),
-            addr,
-            seen,
-            kept: false,
-            endpoint,
-            _open: self.open.clone(),
-        }
+        let client = client(addr, self.connect_timeout.get(), &seen);
+        Lease { client, addr, seen, kept: false, endpoint, _open: open }
     }
 }
 
@@ -217,7 +249,8 @@
 
     #[test]
     fn there_is_somebody_to_send_to_while_the_list_names_one_as_ready() {
-        let backends = Backends::new(Duration::from_secs(1), Duration::from_secs(1), 1);
+        let backends =
+            Backends::new(Duration::from_secs(1), Duration::from_secs(1), Rc::new(Descriptors::new(1)));
         let place = |id, ready| backends.place(EndpointId(id), None, None, ready);
         assert!(!backends.any_takes_requests());
         place(3, true);
--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -2,9 +2,10 @@
 
 use actix_http::header::{HeaderMap, HeaderValue};
 use actix_http::{Method, StatusCode};
-use awc::http::uri::PathAndQuery;
+use awc::http::uri::{Authority, PathAndQuery};
 use bytes::Bytes;
 use olivecart_decisions::{ClassId, TenantId};
+use std::fmt;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -32,10 +33,46 @@
     pub retry: bool,
     /// When the client stops waiting.
     pub deadline: Instant,
+    /// The authority, where the request's target names one; otherwise it is among the headers.
+    pub authority: Option<Authority>,
     /// What is passed on.
     pub payload: Rc<Payload>,
 }
 
+/// What of a call rules look at.
+#[derive(Clone, Copy, Debug)]
+pub struct Traits<'a> {
+    /// The authority as the client gave it, with or without a port; empty if it gave none.
+    pub authority: &'a str,
+    /// The path as it came, without the query. It is not decoded and not normalised: a backend that reads
+    /// `/a/../b` as `/b` must not rely on rules to keep requests apart.
+    pub path: &'a str,
+    /// The method.
+    pub method: &'a str,
+    /// The class.
+    pub class: ClassId,
+}
+
+/// Why a call is not put to its cluster: it is not there.
+#[derive(Debug, PartialEq)]
+pub struct Absent {
+    /// The cluster.
+    pub cluster: Rc<str>,
+    /// It was there; otherwise it is awaited.
+    pub removed: bool,
+}
+
+impl fmt::Display for Absent {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(
+            f,
+            "cluster {} {}",
+            self.cluster,
+            if self.removed { "was removed" } else { "is not there yet" }
+        )
+    }
+}
+
 /// A backend's whole answer.
 pub struct Answer {
     /// Its status.
--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -1,7 +1,8 @@
 //! The command line.
 
+use crate::clusters::Clusters;
 use crate::config::{Changes, Config};
-use crate::{driver, listen, reload, shutdown};
+use crate::{listen, reload, shutdown};
 use argh::FromArgs;
 use slog::{Drain, Logger, crit, info, o};
 use std::path::PathBuf;
@@ -92,14 +93,14 @@
         let listener = listen::bind(config.listen)?;
         info!(log, "listening"; "on" => %config.listen, "version" => env!("CARGO_PKG_VERSION"));
         let (sockets, origin) = (config.sockets, config.origin.clone());
-        let driver = driver::Driver::start(config, log.clone());
-        let (context, site) = (driver.context.clone(), driver.site.clone());
-        let gate = Rc::new(listen::Gate::new(context, site, log.clone(), sockets));
+        let clusters = Clusters::start(config, &log);
+        let (routes, site) = (clusters.routes.clone(), clusters.site.clone());
+        let gate = Rc::new(listen::Gate::new(routes, site, log.clone(), sockets));
         let adopt = {
             let gate = gate.clone();
             move |changes: &Changes| {
                 gate.adopt(changes.sockets);
-                driver.adopt(changes.discovery, changes.sockets);
+                clusters.adopt(changes);
             }
         };
         actix_rt::spawn(reload::on_signal(hang_up, origin, adopt, log.clone()));
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -1,20 +1,21 @@
-//! Owns the decisions: puts every event to them in order, does what they answer, and keeps their timers.
+//! Owns the decisions of one cluster: puts every event to them in order, does what they answer, and keeps
+//! their timers. What it shares with other clusters' is [`Shared`].
 
 use crate::backends::Backends;
 use crate::call::Verdict;
 use crate::clock::Clock;
-use crate::config::{Config, Sockets};
+use crate::descriptors::Descriptors;
 use crate::discovery::{Discovery, Subscriber};
 use crate::invariant::{must, take_broken};
 use crate::membership::{Endpoint, News};
-use crate::platform::registry;
+use crate::stages::book::Book;
 use crate::stages::context::{Context, Decisions, Limits};
 use crate::stages::{route, send};
 use olivecart_decisions::{
-    Action, Balancer, Discovery as Mode, Entry, Event, ListChange, Nanos, State, Timer,
+    Action, Balancer, Discovery as Mode, Entry, Event, ListChange, Nanos, Settings, State, Timer,
 };
 use olivecart_settings::{Listed, Site};
-use slog::{Logger, debug, error, info, warn};
+use slog::{Logger, debug, error, info};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -22,88 +23,129 @@
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::task::JoinHandle;
 use tokio::time::sleep_until;
 
-/// The decisions and all that they act on.
+/// How often it is seen whether a cluster that was removed has requests still.
+const LINGERS: Duration = Duration::from_millis(100);
+
+/// What all clusters share.
+pub struct Shared {
+    /// The one clock.
+    pub clock: Clock,
+    /// Settings and names.
+    pub site: Rc<RefCell<Site>>,
+    /// Open requests: an id stands for one request, whichever cluster it is put to.
+    pub book: Rc<Book>,
+    /// The budget for connections.
+    pub descriptors: Rc<Descriptors>,
+}
+
+/// The decisions of one cluster and all that they act on.
 pub struct Driver {
     /// What the stages share.
     pub context: Rc<Context>,
-    /// Settings and names.
-    pub site: Rc<RefCell<Site>>,
-    clock: Clock,
+    shared: Rc<Shared>,
     balancer: RefCell<Balancer>,
-    discovery: Discovery,
+    /// Where the platform's own cluster comes from.
+    discovery: Option<Discovery>,
     events: RefCell<VecDeque<Event>>,
     running: Cell<bool>,
     /// By due time, then in the order asked for.
     timers: RefCell<BTreeMap<(Nanos, u64), Timer>>,
     asked: Cell<u64>,
     earlier: Notify,
+    retired: Notify,
     log: Logger,
 }
 
 impl Driver {
-    /// Starts the decisions with the list as it was last known, and the tasks that serve them.
-    pub fn start(config: Config, log: Logger) -> Rc<Driver> {
-        let (clock, site) = (Clock::start(), config.site);
-        let settings = site.settings.clone();
+    /// Starts the decisions of a cluster without endpoints, and the tasks that serve them. `discovery` is
+    /// where its endpoints come from, unless somebody brings them.
+    pub fn start(
+        shared: &Rc<Shared>,
+        settings: Settings,
+        seed: u64,
+        discovery: Option<SocketAddr>,
+        log: Logger,
+    ) -> Rc<Driver> {
+        let site = shared.site.borrow();
         let connect_timeout = Duration::from_nanos(settings.limits.connect_timeout);
-        let backends = Backends::new(connect_timeout, site.idle_close, config.sockets.backends);
+        let backends = Backends::new(connect_timeout, site.idle_close, shared.descriptors.clone());
         let limits = Limits { open_requests: site.most_held, second_copies: settings.limits.second_copies };
         let driver = Rc::new_cyclic(|this: &Weak<Driver>| Driver {
-            context: Rc::new(Context::new(this.clone(), backends, limits)),
-            site: Rc::new(RefCell::new(site)),
-            clock,
-            balancer: RefCell::new(Balancer::new(settings.clone(), config.seed, clock.now())),
-            discovery: Discovery::new(config.discovery, this.clone(), log.clone()),
+            context: Rc::new(Context::new(this.clone(), shared.book.clone(), backends, limits)),
+            shared: shared.clone(),
+            balancer: RefCell::new(Balancer::new(settings, seed, shared.clock.now())),
+            discovery: discovery.map(|at| Discovery::new(at, this.clone(), log.clone())),
             events: RefCell::default(),
             running: Cell::new(false),
             timers: RefCell::default(),
             asked: Cell::new(0),
             earlier: Notify::new(),
+            retired: Notify::new(),
             log,
         });
-        let known = match config.known.as_deref().map(|text| registry::read(text.as_bytes())) {
-            Some(Ok(news)) => news,
-            Some(Err(e)) => {
-                warn!(driver.log, "the known list is unreadable and taken as empty"; "known" => %e);
-                News::nothing()
-            }
-            None => News::nothing(),
-        };
-        driver.list(&known, ListChange::Cached);
-        if settings.discovery == Mode::Automatic {
-            driver.discovery.watch(true); // the decisions take for granted that changes come
-        }
-        actix_rt::spawn(driver.clone().keep_timers());
-        actix_rt::spawn(driver.clone().keep_house());
+        let timers = actix_rt::spawn(driver.clone().keep_timers());
+        actix_rt::spawn(driver.clone().keep_house(timers));
         driver
     }
 
-    /// Another address of discovery's, and other shares of the descriptors, hold from now on.
-    pub fn adopt(&self, discovery: SocketAddr, sockets: Sockets) {
-        self.context.backends.adopt(sockets.backends);
-        self.discovery.move_to(discovery);
+    /// Takes in the list as it was last known, and follows it from there.
+    pub fn follow(&self, known: &News) {
+        self.list(known, ListChange::Cached);
+        if self.shared.site.borrow().settings.discovery == Mode::Automatic {
+            self.watch(true); // the decisions take for granted that changes come
+        }
+    }
+
+    /// Another address of discovery's holds from now on.
+    pub fn adopt(&self, discovery: SocketAddr) {
+        self.discovery.iter().for_each(|own| own.move_to(discovery));
     }
 
     /// Takes in a list or a change, and tells the decisions.
     fn list(&self, news: &News, change: impl Fn(Vec<Entry>) -> ListChange) {
         let (version, named) = (news.version, news.endpoints.len());
         debug!(self.log, "list"; "version" => version, "full" => news.full, "entries" => named);
-        let backends = &self.context.backends;
         if news.full {
-            backends.forget_all();
+            self.context.backends.forget_all();
         }
-        self.discovery.holds(version);
+        self.discovery.iter().for_each(|discovery| discovery.holds(version));
         let mut entries = Vec::with_capacity(named);
         for endpoint in &news.endpoints {
-            let entry = numbered(&mut self.site.borrow_mut(), endpoint);
-            backends.place(entry.id, endpoint.addr, endpoint.started, endpoint.state == State::Ready);
+            let entry = numbered(&mut self.shared.site.borrow_mut(), endpoint);
+            self.place(&entry, endpoint.addr);
             entries.push(entry);
         }
         self.tell(Event::List(change(entries)));
     }
 
+    /// Takes in changed endpoints in the numbers of whoever brings them, and tells the decisions.
+    pub fn change(&self, changed: impl Iterator<Item = (Entry, Option<SocketAddr>)>) {
+        let noted = |(entry, addr): (Entry, _)| {
+            self.place(&entry, addr);
+            entry
+        };
+        self.tell(Event::List(ListChange::Delta(changed.map(noted).collect())));
+    }
+
+    fn place(&self, entry: &Entry, addr: Option<SocketAddr>) {
+        self.context.backends.place(entry.id, addr, entry.started, entry.state == State::Ready);
+    }
+
+    /// The cluster is no more: nothing new goes to its endpoints. What was taken in finishes, or fails by its
+    /// own deadline; then the tasks end, and nothing of the cluster is left.
+    pub fn retire(&self) {
+        self.context.backends.close();
+        self.tell(Event::List(ListChange::Full(Vec::new())));
+        self.retired.notify_one();
+    }
+
+    fn watch(&self, on: bool) {
+        self.discovery.iter().for_each(|discovery| discovery.watch(on));
+    }
+
     fn perform(&self, action: Action) {
         let Context { book, backends, .. } = &*self.context;
         match action {
@@ -116,8 +158,8 @@
             Action::Fail(request) => must(book.finish(request, Verdict::Failed), "one verdict a request"),
             Action::Check(endpoint) => drop(actix_rt::spawn(send::probe(self.context.clone(), endpoint))),
             Action::SetTimer { at, timer } => self.set_timer(at, timer),
-            Action::Watch(on) => self.discovery.watch(on),
-            Action::Refresh => self.discovery.refresh(),
+            Action::Watch(on) => self.watch(on),
+            Action::Refresh => self.discovery.iter().for_each(Discovery::refresh),
             Action::Close(endpoint) => backends.close_idle(endpoint),
             Action::Publish { .. } => must(false, "copies have no way to talk to each other"),
             Action::Remark(text) => info!(self.log, "remark"; "text" => text),
@@ -138,9 +180,9 @@
             let due = self.timers.borrow().first_key_value().map(|((due, _), _)| *due);
             match due {
                 None => self.earlier.notified().await,
-                Some(due) if due > self.clock.now() => {
+                Some(due) if due > self.shared.clock.now() => {
                     tokio::select! {
-                        () = sleep_until(self.clock.instant(due).into()) => {}
+                        () = sleep_until(self.shared.clock.instant(due).into()) => {}
                         () = self.earlier.notified() => {}
                     }
                 }
@@ -153,15 +195,25 @@
     }
 
     /// Lets idle connections go in time, and reports what did not hold.
-    async fn keep_house(self: Rc<Self>) {
+    async fn keep_house(self: Rc<Self>, timers: JoinHandle<()>) {
         let mut every = tokio::time::interval(Duration::from_secs(1));
         loop {
-            every.tick().await;
+            tokio::select! {
+                _ = every.tick() => {}
+                () = self.retired.notified() => break,
+            }
             self.context.backends.sweep();
             for (what, times) in take_broken() {
                 error!(self.log, "an invariant does not hold"; "what" => what, "times" => times);
             }
         }
+        // Requests, attempts and probes hold the context.
+        let mut every = tokio::time::interval(LINGERS);
+        while Rc::strong_count(&self.context) > 1 {
+            every.tick().await;
+        }
+        timers.abort();
+        info!(self.log, "a cluster that was removed has ended its last request");
     }
 }
 
@@ -176,7 +228,7 @@
         loop {
             let Some(event) = self.events.borrow_mut().pop_front() else { break };
             let mut actions = Vec::new();
-            let handle = || self.balancer.borrow_mut().handle(self.clock.now(), event, &mut actions);
+            let handle = || self.balancer.borrow_mut().handle(self.shared.clock.now(), event, &mut actions);
             if catch_unwind(AssertUnwindSafe(handle)).is_err() {
                 // Requests are still answered at their deadline.
                 error!(self.log, "the decisions panicked on an event");
@@ -213,6 +265,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::platform::registry;
 
     #[test]
     fn endpoints_are_numbered_by_name_in_the_order_they_are_heard_of() {
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -5,7 +5,7 @@
 use crate::config::Sockets;
 use crate::platform::client;
 use crate::stages::admit::{self, NotAdmitted};
-use crate::stages::context::Context;
+use crate::stages::choose::Routes;
 use crate::stages::{intake, relay};
 use crate::wire::Wire;
 use actix_http::{Extensions, HttpService, KeepAlive, Request, Response};
@@ -34,7 +34,7 @@
 
 /// What the listener and the shut-down share.
 pub struct Gate {
-    context: Rc<Context>,
+    routes: Rc<Routes>,
     site: Rc<RefCell<Site>>,
     log: Logger,
     sockets: Cell<Sockets>,
@@ -47,11 +47,11 @@
 
 impl Gate {
     /// An open gate. `site` has the names that requests may use.
-    pub fn new(context: Rc<Context>, site: Rc<RefCell<Site>>, log: Logger, sockets: Sockets) -> Gate {
+    pub fn new(routes: Rc<Routes>, site: Rc<RefCell<Site>>, log: Logger, sockets: Sockets) -> Gate {
         let (clients, last_accepted) = (Rc::default(), Cell::new(Instant::now()));
         let (closing, leaving) = (watch::channel(false).0, Cell::new(None));
         let sockets = Cell::new(sockets);
-        Gate { context, site, log, sockets, clients, last_accepted, leaving, closing }
+        Gate { routes, site, log, sockets, clients, last_accepted, leaving, closing }
     }
 
     /// Sees to it that there are descriptors for one more connection. Danger: they run out, and with them
@@ -158,9 +158,7 @@
         return Ok(client::refusal(Duration::ZERO)); // on_connect_ext leaves none without
     };
     let response = match request.path() {
-        client::READY => {
-            Ok(client::health(gate.context.backends.any_takes_requests() && gate.leaving.get().is_none()))
-        }
+        client::READY => Ok(client::health(gate.routes.any_takes_requests() && gate.leaving.get().is_none())),
         client::LIVE => Ok(client::health(true)),
         _ => through_the_stages(&gate, request, &client).await,
     };
@@ -188,7 +186,11 @@
     if gate.clients.in_work() > gate.sockets.get().clients {
         return Ok(client::crowded());
     }
-    let held = match admit::admit(&gate.context, call) {
+    let context = match gate.routes.choose(|| client::traits(&call)) {
+        Ok(context) => context,
+        Err(absent) => return Ok(client::absent(&absent)),
+    };
+    let held = match admit::admit(&context, call) {
         Ok(held) => held,
         Err(NotAdmitted::Full) => return Ok(client::crowded()),
         Err(NotAdmitted::Twice) => return Err(client::Reject::Open),
--- a/crates/proxy/src/operators/rules.rs
+++ b/crates/proxy/src/operators/rules.rs
@@ -6,23 +6,10 @@
 //! class (given before not). Two rules that fit the same request and are equal in all of these give exactly the
 //! same; such a pair is an error when the file is read, so that the order of rules in it never matters.
 
+use crate::call::Traits;
 use olivecart_decisions::ClassId;
 use std::cmp::Reverse;
 
-/// What of a request rules look at.
-#[derive(Clone, Copy, Debug)]
-pub struct Traits<'a> {
-    /// The authority as the client gave it, with or without a port; empty if it gave none.
-    pub authority: &'a str,
-    /// The path as it came, without the query. It is not decoded and not normalised: a backend that reads
-    /// `/a/../b` as `/b` must not rely on rules to keep requests apart.
-    pub path: &'a str,
-    /// The method.
-    pub method: &'a str,
-    /// The class.
-    pub class: ClassId,
-}
-
 /// What a rule asks of a request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Criteria {
@@ -94,6 +81,11 @@
         self.0.iter().find(|(criteria, _)| criteria.fit(request)).map(|(_, target)| target)
     }
 
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// How many there are.
     pub fn len(&self) -> usize {
         self.0.len()
@@ -140,7 +132,7 @@
         for (criterion, fitting, others) in [
             ("p=/api", "/api /api/ /api/x /api//", "/ap /apis /v/api /API /%61pi"),
             ("p=", "/ /x /x/y", ""),
-            ("a=shop", "shop SHOP shop:80 shop. shop.:80", "shop2 a.shop ashop shop:80.a [::1]:80"),
+            ("a=shop", "shop SHOP shop:80 shop. shop.:80", "shop2 a.shop ashop [::1]:80"),
             ("a=*.shop", "a.shop b.A.Shop:1 a.shop.", "shop .shop x a.shop2 éshop"),
             ("a=[::1]", "[::1] [::1]:80", "[::2] ::1 [::1].a"),
         ] {
--- a/crates/proxy/src/operators/tests.rs
+++ b/crates/proxy/src/operators/tests.rs
@@ -1,6 +1,7 @@
 //! Whole files, and files with one thing wrong.
 
 use super::*;
+use crate::call::Traits;
 use olivecart_decisions::ClassId;
 use std::path::Path;
 
--- a/crates/proxy/src/platform/client.rs
+++ b/crates/proxy/src/platform/client.rs
@@ -1,7 +1,7 @@
 //! What callers send and what they are told.
 
 use super::{BODY_LIMIT, end_to_end, names};
-use crate::call::{Payload, Verdict};
+use crate::call::{Absent, Call, Payload, Traits, Verdict};
 use actix_http::header::{self, HeaderName, HeaderValue};
 use actix_http::{ConnectionType, Method, RequestHead, Response, ResponseBuilder, StatusCode};
 use bytes::Bytes;
@@ -118,6 +118,19 @@
     Payload { method: head.method.clone(), target: head.uri.path_and_query().cloned(), headers, body }
 }
 
+/// What rules look at. An authority in the request's target counts before the header (RFC 9112, 3.2.2).
+pub fn traits(call: &Call) -> Traits<'_> {
+    let Payload { method, target, headers, .. } = &*call.payload;
+    let host = || headers.get(header::HOST).and_then(|host| host.to_str().ok());
+    let authority = call.authority.as_ref().map(|authority| authority.as_str()).or_else(host);
+    Traits {
+        authority: authority.map_or("", |a| a.rsplit_once('@').map_or(a, |(_, host)| host)),
+        path: target.as_ref().map_or("", |target| target.path()),
+        method: method.as_str(),
+        class: call.class,
+    }
+}
+
 /// The answer that a verdict comes to.
 pub fn answer(verdict: Verdict) -> Response<Bytes> {
     let plain =
@@ -142,6 +155,11 @@
     built(response, Bytes::from_static(b"refused\n"))
 }
 
+/// A refusal because the request's cluster is not there.
+pub fn absent(absent: &Absent) -> Response<Bytes> {
+    refusal(Duration::ZERO).set_body(Bytes::from(format!("refused: {absent}\n")))
+}
+
 /// A refusal for want of room, which ends the connection too.
 pub fn crowded() -> Response<Bytes> {
     let mut refusal = refusal(Duration::ZERO);
--- a/crates/proxy/src/stages/admit.rs
+++ b/crates/proxy/src/stages/admit.rs
@@ -1,5 +1,5 @@
 //! Admits a call: opens its account and puts it to the decisions. The only admission of the proxy's own is
-//! the limit on open requests that the settings give.
+//! the limits on open requests that the settings give, and the cluster's source or its operators.
 
 use super::context::Context;
 use crate::call::{Call, Verdict};
@@ -28,7 +28,7 @@
 
 /// Why a call is not admitted.
 pub enum NotAdmitted {
-    /// As many are open as the settings allow.
+    /// As many are open as the settings or the cluster's limits allow.
     Full,
     /// One with its id is open.
     Twice,
@@ -37,11 +37,12 @@
 /// Opens a call's account. Danger: a second request with the id of an open one is not that client's, and to a
 /// backend would be another copy of it.
 pub fn admit(context: &Rc<Context>, call: Call) -> Result<Held, NotAdmitted> {
-    if context.book.open_requests() >= context.limits.open_requests {
+    if !context.has_room() {
         return Err(NotAdmitted::Full);
     }
     let until = call.deadline.checked_sub(MARGIN).unwrap_or(call.deadline);
     let (request, verdict) = context.book.open(call.id, call.payload, until).ok_or(NotAdmitted::Twice)?;
+    context.enter();
     let account = Account { context: context.clone(), request };
     context.tell(Event::Request(Request {
         tenant: call.tenant,
@@ -60,6 +61,7 @@
 
 impl Drop for Account {
     fn drop(&mut self) {
+        self.context.leave();
         if self.context.book.abandon(self.request) {
             self.context.tell(Event::Aborted(self.request));
         }
@@ -71,6 +73,7 @@
     use super::*;
     use crate::backends::Backends;
     use crate::call::Payload;
+    use crate::descriptors::Descriptors;
     use crate::stages::context::{Decisions, Limits};
     use actix_http::Method;
     use actix_http::header::{HeaderMap, HeaderValue};
@@ -90,9 +93,10 @@
 
     fn context(decisions: &Rc<Recorder>, open_requests: usize) -> Rc<Context> {
         let decisions: Rc<dyn Decisions> = decisions.clone();
-        let backends = Backends::new(Duration::from_secs(1), Duration::from_secs(1), 1);
+        let descriptors = Rc::new(Descriptors::new(1));
+        let backends = Backends::new(Duration::from_secs(1), Duration::from_secs(1), descriptors);
         let limits = Limits { open_requests, second_copies: false };
-        Rc::new(Context::new(Rc::downgrade(&decisions), backends, limits))
+        Rc::new(Context::new(Rc::downgrade(&decisions), Rc::default(), backends, limits))
     }
 
     fn call(id: &'static str) -> Call {
@@ -103,6 +107,7 @@
             tenant: None,
             retry: false,
             deadline: Instant::now() + Duration::from_secs(60),
+            authority: None,
             payload: Rc::new(Payload { method: Method::GET, target: None, headers, body }),
         }
     }
@@ -132,6 +137,12 @@
         assert!(matches!(admit(&context, call("c")), Err(NotAdmitted::Full)));
         assert_eq!(decisions.0.borrow().len(), 2);
         drop(first);
+        context.adopt(1);
+        assert!(
+            matches!(admit(&context, call("a")), Err(NotAdmitted::Full)),
+            "this cluster's limit is lower"
+        );
+        context.adopt(2);
         assert!(admit(&context, call("a")).is_ok(), "its id and its room are free again");
     }
 }
--- a/crates/proxy/src/stages/context.rs
+++ b/crates/proxy/src/stages/context.rs
@@ -3,7 +3,8 @@
 use super::book::Book;
 use crate::backends::Backends;
 use olivecart_decisions::Event;
-use std::rc::Weak;
+use std::cell::Cell;
+use std::rc::{Rc, Weak};
 
 /// Whoever runs the decisions.
 pub trait Decisions {
@@ -21,22 +22,56 @@
     pub second_copies: bool,
 }
 
-/// What the stages of all requests share.
+/// What the stages of all requests to a cluster share.
 pub struct Context {
-    /// Accounts of open requests.
-    pub book: Book,
+    /// Accounts of the open requests of all clusters.
+    pub book: Rc<Book>,
     /// Endpoints and connections.
     pub backends: Backends,
     /// Limits from the settings.
     pub limits: Limits,
+    /// Requests that are open here, and the most.
+    open: Cell<usize>,
+    most: Cell<usize>,
     /// Not owned: it owns this.
     decisions: Weak<dyn Decisions>,
 }
 
 impl Context {
-    /// No request is open yet.
-    pub fn new(decisions: Weak<dyn Decisions>, backends: Backends, limits: Limits) -> Context {
-        Context { book: Book::default(), backends, limits, decisions }
+    /// No request is open here yet.
+    pub fn new(
+        decisions: Weak<dyn Decisions>,
+        book: Rc<Book>,
+        backends: Backends,
+        limits: Limits,
+    ) -> Context {
+        let (open, most) = (Cell::new(0), Cell::new(usize::MAX));
+        Context { book, backends, limits, open, most, decisions }
+    }
+
+    /// Another limit to the requests that are open here holds from now on.
+    pub fn adopt(&self, most: usize) {
+        self.most.set(most);
+    }
+
+    /// Requests that are open here.
+    pub fn open_requests(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Whether there is room for one more here, and in the proxy.
+    pub fn has_room(&self) -> bool {
+        self.open.get() < self.most.get() && self.book.open_requests() < self.limits.open_requests
+    }
+
+    /// One more is open here.
+    pub fn enter(&self) {
+        self.open.set(self.open.get() + 1);
+    }
+
+    /// One less is.
+    pub fn leave(&self) {
+        self.open.set(self.open.get() - 1);
     }
 
     /// Tells the decisions; nobody, once they have been dropped at the end of the program.
--- a/crates/proxy/src/stages/intake.rs
+++ b/crates/proxy/src/stages/intake.rs
@@ -26,7 +26,8 @@
     let tenant = fields.tenant.and_then(|t| site.tenants.get(&t)).map(|t| TenantId(t as u16));
     let payload = Rc::new(client::payload(request.head(), body));
     let (class, deadline) = (ClassId(class as u16), arrived + left);
-    Ok(Call { id: fields.id, class, tenant, retry: fields.retry, deadline, payload })
+    let authority = request.head().uri.authority().cloned(); // few have one: nothing is copied for the others
+    Ok(Call { id: fields.id, class, tenant, retry: fields.retry, deadline, authority, payload })
 }
 
 async fn body(request: &mut Request) -> Result<Bytes, Reject> {
