Watch files and directories of endpoints as a source of the catalog

Teams that edit lists of endpoints need a change to be seen at once and a half-written file never. Events of the file system wake the watch, polling stands behind them, and whoever reads is a thread that may block. A file is read whole and checked before the catalog hears of it; one that is torn, lost, a directory, or no good leaves the last good one in force and is told once. What was said already is no news, since a repetition would confirm what the catalog holds back.

--- /dev/null
+++ b/crates/membership/src/watch/judge.rs
@@ -0,0 +1,95 @@
+//! What follows from a look at a file: what the catalog is told, and what an operator.
+
+use super::look::{Look, Print};
+use super::{Parser, Watch};
+use crate::event::{Event, News, Silence};
+use crate::names::Version;
+use std::fmt;
+
+/// What an operator is to be told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Notice {
+    /// It cannot be used: why, with file, line and key. The last good one stands.
+    Refused(String),
+    /// It is not there or cannot be read. The last good one stands.
+    Lost(String),
+    /// It is good again.
+    Back,
+    /// The file system tells nothing of changes; polling remains.
+    Blind(String),
+}
+
+impl fmt::Display for Notice {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Notice::Refused(why) => write!(f, "refused, the last good one stands: {why}"),
+            Notice::Lost(why) => write!(f, "cannot be read, the last good one stands: {why}"),
+            Notice::Back => f.write_str("good again"),
+            Notice::Blind(why) => write!(f, "no events of the file system, only polling: {why}"),
+        }
+    }
+}
+
+/// What is known of the file.
+#[derive(Debug, Default)]
+pub(super) struct Judge {
+    /// As it was last read, good or not.
+    pub print: Option<Print>,
+    /// Of what was last read, good or not, and of what the catalog was last told.
+    read: Option<u64>,
+    told: Option<u64>,
+    /// What is wrong, if anything.
+    wrong: Option<Notice>,
+}
+
+/// What follows.
+pub(super) type Verdict = (Option<Event>, Option<Notice>);
+
+impl Judge {
+    /// Judges a look; `asked`: what is good is told, changed or not.
+    pub fn judge(&mut self, watch: &Watch, parse: Parser, look: Look, asked: bool) -> Verdict {
+        match look {
+            Look::Same => (None, None),
+            Look::Lost(e) => {
+                (self.print, self.read) = (None, None);
+                let text = format!("{}: {e}", watch.path.display());
+                self.wrong(watch, Notice::Lost(text), Silence::Lost)
+            }
+            Look::Unusable(why) => {
+                (self.print, self.read) = (None, None);
+                self.wrong(watch, Notice::Refused(why), Silence::Quiet)
+            }
+            Look::Read(found) => {
+                self.print = Some(found.print);
+                if self.read.replace(found.hash) == Some(found.hash) && !asked {
+                    return (None, None);
+                }
+                if self.told == Some(found.hash) && !asked {
+                    // Danger: news would be a repetition, which confirms what is held.
+                    let back = self.wrong.take().map(|_| Notice::Back);
+                    let event = back.is_some().then(|| Event::Back { source: watch.source.clone() });
+                    return (event, back);
+                }
+                match parse(found.texts) {
+                    Err(why) => self.wrong(watch, Notice::Refused(why), Silence::Quiet),
+                    Ok(clusters) => {
+                        self.told = Some(found.hash);
+                        let back = self.wrong.take().map(|_| Notice::Back);
+                        let version = Version::new(format!("{:016x}", found.hash));
+                        let (source, news) = (watch.source.clone(), News::All(clusters));
+                        (Some(Event::News { source, version, news }), back)
+                    }
+                }
+            }
+        }
+    }
+
+    /// Says it once, however often it is seen.
+    fn wrong(&mut self, watch: &Watch, notice: Notice, silence: Silence) -> Verdict {
+        if self.wrong.as_ref() == Some(&notice) {
+            return (None, None);
+        }
+        self.wrong = Some(notice.clone());
+        (Some(Event::Silent { source: watch.source.clone(), silence }), Some(notice))
+    }
+}
--- /dev/null
+++ b/crates/membership/src/watch/look.rs
@@ -0,0 +1,154 @@
+//! What a file or directory is at one moment. Blocks: for threads that may.
+
+use super::Kind;
+use std::fs::{self, File, Metadata};
+use std::io::{self, Read};
+use std::os::unix::fs::MetadataExt;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use xxhash_rust::xxh3::Xxh3;
+
+/// Largest sum of bytes that is read: some 500,000 endpoints.
+pub(super) const LARGEST: u64 = 64 << 20;
+/// Most files of a directory.
+const MOST_FILES: usize = 10_000;
+/// Two writes within so long may leave the same times; the coarsest file system in use (FAT) keeps 2 s.
+const COARSE: Duration = Duration::from_secs(2);
+/// Readings of something that changes meanwhile, before it is taken as it came.
+const TRIES: u32 = 3;
+
+/// What tells one state from another without reading: names and, of each, device, inode, size and times.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(super) struct Print {
+    files: Vec<(PathBuf, [i128; 5])>,
+    /// The last change, in nanoseconds of Unix time.
+    newest: i128,
+    /// When this was taken, the same way.
+    taken: i128,
+}
+
+/// What was found.
+#[derive(Debug)]
+pub(super) struct Found {
+    pub print: Print,
+    /// Name and text of each file.
+    pub texts: Vec<(String, String)>,
+    /// Of all names and texts.
+    pub hash: u64,
+}
+
+/// What looking came to.
+#[derive(Debug)]
+pub(super) enum Look {
+    /// It is as it was.
+    Same,
+    /// It was read.
+    Read(Found),
+    /// It cannot be used, though something is there.
+    Unusable(String),
+    /// It is not there, or nobody can read it.
+    Lost(io::Error),
+}
+
+impl Print {
+    fn of(path: &Path, kind: Kind) -> io::Result<Result<Print, String>> {
+        let about = fs::metadata(path)?;
+        let mut print = Print { taken: unix(SystemTime::now()), ..Print::default() };
+        match (kind, about.is_dir()) {
+            (Kind::File, false) => print.add(path.to_owned(), &about),
+            (Kind::File, true) => return Ok(Err("is a directory, and a file is expected".into())),
+            (Kind::Directory, false) => return Ok(Err("is a file, and a directory is expected".into())),
+            (Kind::Directory, true) => {
+                for entry in fs::read_dir(path)? {
+                    let path = entry?.path();
+                    if !is_fragment(&path) {
+                        continue;
+                    }
+                    // One that went since the directory was read is looked at once more, with the directory.
+                    let about = fs::metadata(&path)?;
+                    if about.is_file() {
+                        print.add(path, &about);
+                    }
+                }
+                if print.files.len() > MOST_FILES {
+                    return Ok(Err(format!("has more than {MOST_FILES} files")));
+                }
+            }
+        }
+        print.files.sort();
+        Ok(Ok(print))
+    }
+
+    fn add(&mut self, path: PathBuf, about: &Metadata) {
+        let time = |s: i64, ns: i64| i128::from(s) * 1_000_000_000 + i128::from(ns);
+        let changed = time(about.ctime(), about.ctime_nsec());
+        let modified = time(about.mtime(), about.mtime_nsec());
+        self.newest = self.newest.max(changed).max(modified);
+        let (device, inode, size) = (about.dev().into(), about.ino().into(), about.size().into());
+        self.files.push((path, [device, inode, size, modified, changed]));
+    }
+
+    /// Whether another state cannot look the same. Danger: a write right after the reading, of the same length
+    /// and within one tick of the file system's clock. A clock that is ahead of ours proves nothing either.
+    fn proves(&self, now: &Print) -> bool {
+        self.files == now.files && self.newest + (COARSE.as_nanos() as i128) < self.taken
+    }
+}
+
+fn is_fragment(path: &Path) -> bool {
+    let hidden = path.file_name().is_none_or(|name| name.as_encoded_bytes().starts_with(b"."));
+    !hidden && path.extension().is_some_and(|form| form == "toml" || form == "json")
+}
+
+fn unix(time: SystemTime) -> i128 {
+    time.duration_since(UNIX_EPOCH).map_or(0, |since| since.as_nanos() as i128)
+}
+
+/// Looks, and reads what may differ from `known`.
+pub(super) fn look(path: &Path, kind: Kind, known: Option<&Print>) -> Look {
+    let mut last = None;
+    for _ in 0..TRIES {
+        match read(path, kind, known) {
+            // A rename between two steps: the next reading finds one or the other.
+            Look::Lost(e) => last = Some(Look::Lost(e)),
+            Look::Read(found) => match Print::of(path, kind) {
+                Ok(Ok(after)) if after.files == found.print.files => return Look::Read(found),
+                _ => last = Some(Look::Read(found)),
+            },
+            look => return look,
+        }
+    }
+    last.unwrap_or(Look::Same)
+}
+
+fn read(path: &Path, kind: Kind, known: Option<&Print>) -> Look {
+    let print = match Print::of(path, kind) {
+        Ok(Ok(print)) => print,
+        Ok(Err(why)) => return Look::Unusable(format!("{} {why}", path.display())),
+        Err(e) => return Look::Lost(e),
+    };
+    if known.is_some_and(|known| known.proves(&print)) {
+        return Look::Same;
+    }
+    let (mut texts, mut left, mut hash) = (Vec::new(), LARGEST, Xxh3::new());
+    for (path, _) in &print.files {
+        let name = path.to_string_lossy().into_owned();
+        let mut bytes = Vec::new();
+        if let Err(e) = File::open(path).and_then(|file| file.take(left + 1).read_to_end(&mut bytes)) {
+            return Look::Lost(e);
+        }
+        let Some(rest) = left.checked_sub(bytes.len() as u64) else {
+            return Look::Unusable(format!("{name}: more than {LARGEST} bytes in all"));
+        };
+        left = rest;
+        let Ok(text) = String::from_utf8(bytes) else {
+            return Look::Unusable(format!("{name}: is not UTF-8"));
+        };
+        for part in [&name, &text] {
+            hash.update(&(part.len() as u64).to_le_bytes());
+            hash.update(part.as_bytes());
+        }
+        texts.push((name, text));
+    }
+    Look::Read(Found { print, texts, hash: hash.digest() })
+}
--- /dev/null
+++ b/crates/membership/src/watch/mod.rs
@@ -0,0 +1,58 @@
+//! Files and directories in the documented form ([`file`](crate::file)) as a source of the catalog.
+//!
+//! What changes is seen by the file system's events, with polling behind them, since network file systems send
+//! none. It is read whole by a thread that may block, and checked before the catalog hears of it; what cannot
+//! be read or is no good changes nothing, and the last good one stands.
+//!
+//! [`look`](self) is what a file is at one moment, [`judge`](self) what follows from it, and [`run`] the task
+//! around both, which decides nothing.
+
+mod eyes;
+mod judge;
+mod look;
+mod shell;
+
+pub use judge::Notice;
+pub use shell::run;
+
+use crate::endpoint::Cluster;
+use crate::names::SourceId;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// What is watched.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Watch {
+    /// The source that it is.
+    pub source: SourceId,
+    /// The file or directory.
+    pub path: PathBuf,
+    /// Which of the two. A directory in the place of a file is a mistake, not another form of it.
+    pub kind: Kind,
+    /// How often to look whatever the file system tells; over 0.
+    pub poll: Duration,
+}
+
+/// Whether a file or a directory is watched.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// One file.
+    File,
+    /// A directory of fragments: all files in it that end in `.toml` or `.json`, but not those whose names
+    /// begin with a dot.
+    Directory,
+}
+
+/// From the texts of files, each with its name, to clusters.
+///
+/// # Errors
+/// All that is wrong, in words with the places.
+pub type Parser = fn(Vec<(String, String)>) -> Result<Vec<Cluster>, String>;
+
+/// Reads texts in the documented form.
+///
+/// # Errors
+/// All that is wrong, in words with the places.
+pub fn documented(texts: Vec<(String, String)>) -> Result<Vec<Cluster>, String> {
+    crate::file::merge_fragments(texts).map_err(|problems| problems.to_string())
+}
--- /dev/null
+++ b/crates/membership/src/watch/shell.rs
@@ -0,0 +1,76 @@
+//! The task that watches: events of the file system, the time to poll, questions of the catalog.
+
+use super::eyes::Eyes;
+use super::judge::{Judge, Notice, Verdict};
+use super::look::look;
+use super::{Parser, Watch};
+use crate::source::{Asks, Heard, Sink};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep_until, timeout};
+
+/// Events are waited for until none has come for so long...
+const QUIET: Duration = Duration::from_millis(15);
+/// ...but not beyond this: what drains must be sent nothing 500 ms after the change.
+const AT_MOST: Duration = Duration::from_millis(100);
+
+/// Watches until nobody listens to the sink any more. `tell` is told what an operator should know.
+pub async fn run(watch: Watch, parse: Parser, sink: Sink, mut asks: Asks, mut tell: impl FnMut(Notice)) {
+    let changed = Arc::new(Notify::new());
+    let (eyes, blind) = Eyes::new(&watch, changed.clone());
+    blind.into_iter().for_each(&mut tell);
+    let (mut hands, mut asked) = (Hands { judge: Judge::default(), eyes, parse }, false);
+    loop {
+        let next = Instant::now() + watch.poll;
+        // Danger: a network file system whose server is away blocks whoever reads, for minutes.
+        let of = watch.clone();
+        let looked = tokio::task::spawn_blocking(move || {
+            let verdict = hands.look(&of, asked);
+            (hands, verdict)
+        });
+        let Ok((back, (event, notice))) = looked.await else { return }; // the runtime is going
+        hands = back;
+        notice.into_iter().for_each(&mut tell);
+        if let Some(event) = event
+            && sink.send(Heard { source: watch.source.clone(), event }).await.is_err()
+        {
+            return;
+        }
+        asked = tokio::select! {
+            () = sink.closed() => return,
+            () = changed.notified() => {
+                settle(&changed).await;
+                false
+            }
+            () = sleep_until(next) => false,
+            Some(_) = asks.recv() => {
+                while asks.try_recv().is_ok() {} // one file answers all questions
+                true
+            }
+        };
+    }
+}
+
+/// Waits until what changes has come to rest: a file is seldom written in one piece, and directories never.
+async fn settle(changed: &Notify) {
+    let end = Instant::now() + AT_MOST;
+    while Instant::now() < end && timeout(QUIET, changed.notified()).await.is_ok() {}
+}
+
+/// What goes to the thread that may block, and comes back.
+struct Hands {
+    judge: Judge,
+    eyes: Eyes,
+    parse: Parser,
+}
+
+impl Hands {
+    fn look(&mut self, watch: &Watch, asked: bool) -> Verdict {
+        // Before looking, so that no change falls between the two.
+        self.eyes.follow();
+        let known = self.judge.print.as_ref().filter(|_| !asked);
+        let look = look(&watch.path, watch.kind, known);
+        self.judge.judge(watch, self.parse, look, asked)
+    }
+}
