Run the catalog beside the event loop, and a cluster's own decisions for each it brings

Endpoints of several sources have to reach the decisions of several clusters without holding requests up. A thread of its own runs sources and catalog; the event loop gets numbered endpoints, what stops first and in one turn, the rest in parts. Only clusters that a rule or the default leads to are served. Changes, and every minute or on SIGUSR1 all of it, are told to the log. Without an operators' file there is neither thread nor signal.

--- /dev/null
+++ b/crates/proxy/src/catalog/mod.rs
@@ -0,0 +1,205 @@
+//! The catalog in the proxy: a thread of its own that runs the sources and the catalog, and tells the event
+//! loop only what each cluster's decisions have to know.
+//!
+//! Weighed against a task of the event loop: a list of 10,000 endpoints takes a parser 30 ms and the catalog
+//! 5 ms in one piece, and no request could be served meanwhile. What crosses over is in numbers already, and
+//! in pieces that the loop takes one after another.
+
+mod members;
+mod origin;
+mod sight;
+
+pub use members::Numbered;
+pub use origin::NotBuilt;
+
+use crate::clock::Clock;
+use crate::operators::{REGISTRY, Source};
+use members::{Members, Turn};
+use olivecart_membership::source::{Ask, Heard, SINK_BOUND};
+use olivecart_membership::{
+    BadPolicy, Catalog, ClusterName, ClusterSettings, Event, Output, Policy, SourceId,
+};
+use sight::Sight;
+use slog::Logger;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::time::Duration;
+use tokio::sync::mpsc::{Receiver, Sender, channel};
+use tokio::time::{Instant, interval_at, sleep_until};
+
+/// Most steps that wait for the event loop.
+const STEPS: usize = 64;
+/// How often all is told to the log.
+const REPORT: Duration = Duration::from_secs(60);
+
+/// What the event loop is told, in order.
+#[derive(Debug)]
+pub enum Step {
+    /// A cluster is there, without endpoints yet.
+    Added(ClusterName, ClusterSettings),
+    /// A cluster is no more.
+    Removed(ClusterName),
+    /// A cluster has changed.
+    Changed {
+        /// Which.
+        cluster: ClusterName,
+        /// Limits that come with it, if they have changed.
+        limits: Option<ClusterSettings>,
+        /// Endpoints that take nothing new: to be taken in before the others, and all in one turn.
+        stops: Vec<Numbered>,
+        /// Endpoints that take requests.
+        takes: Vec<Numbered>,
+        /// What to tell the log when it is done.
+        words: Option<String>,
+    },
+    /// A cluster begins anew with these endpoints: numbers that are spent are given back.
+    Renewed {
+        /// Which.
+        cluster: ClusterName,
+        /// Limits that come with it.
+        limits: ClusterSettings,
+        /// Its endpoints that take nothing new.
+        stops: Vec<Numbered>,
+        /// Those that take requests.
+        takes: Vec<Numbered>,
+    },
+}
+
+/// Why the catalog did not start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// A source of a kind that this build does not have.
+    #[error(transparent)]
+    NotBuilt(#[from] NotBuilt),
+    /// A figure of its caution.
+    #[error(transparent)]
+    Policy(#[from] BadPolicy),
+    /// No thread.
+    #[error("no thread for the catalog: {0}")]
+    Thread(#[from] io::Error),
+}
+
+/// The catalog's thread, seen from the event loop. It ends when this is dropped.
+pub struct Handle {
+    /// What it says.
+    pub steps: Receiver<Step>,
+    /// Whoever asks here has all told to the log.
+    pub report: Sender<()>,
+}
+
+/// Starts the sources and the catalog. Only the clusters in `named` are told of: nothing leads to others.
+///
+/// # Errors
+/// Nothing has been started.
+pub fn start(
+    sources: Vec<Source>,
+    policy: Policy,
+    named: Vec<ClusterName>,
+    clock: Clock,
+    log: Logger,
+) -> Result<Handle, StartError> {
+    origin::check(&sources)?;
+    let catalog = Catalog::new(policy, sources.iter().map(|source| source.id.clone()))?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let ((into, steps), (report, reports)) = (channel(STEPS), channel(1));
+    let named: BTreeSet<_> = named.into_iter().filter(|name| name.as_str() != REGISTRY).collect();
+    let sight = Sight::new(log, named.clone());
+    let keeper =
+        Keeper { catalog, named, members: BTreeMap::new(), steps: into, asks: BTreeMap::new(), clock, sight };
+    let keep = move || runtime.block_on(keeper.keep(sources, reports));
+    std::thread::Builder::new().name("catalog".into()).spawn(keep)?;
+    Ok(Handle { steps, report })
+}
+
+/// What the thread keeps.
+struct Keeper {
+    catalog: Catalog,
+    named: BTreeSet<ClusterName>,
+    members: BTreeMap<ClusterName, Members>,
+    steps: Sender<Step>,
+    asks: BTreeMap<SourceId, Sender<Ask>>,
+    clock: Clock,
+    sight: Sight,
+}
+
+impl Keeper {
+    /// Runs until the event loop has gone.
+    async fn keep(mut self, sources: Vec<Source>, mut reports: Receiver<()>) {
+        let (sink, mut heard) = channel(SINK_BOUND);
+        for source in sources {
+            self.asks.insert(source.id.clone(), origin::start(source, sink.clone(), self.sight.notices()));
+        }
+        drop(sink);
+        let mut every = interval_at(Instant::now() + REPORT, REPORT);
+        loop {
+            let due = [self.catalog.deadline(), self.sight.due()].into_iter().flatten().min();
+            let due = due.map(|at| self.clock.instant(at));
+            let tick = async {
+                match due {
+                    Some(due) => sleep_until(due.into()).await,
+                    None => std::future::pending().await,
+                }
+            };
+            let event = tokio::select! {
+                () = self.steps.closed() => return,
+                Some(Heard { event, .. }) = heard.recv() => event,
+                () = tick => Event::Tick,
+                Some(()) = reports.recv() => {
+                    self.sight.report(&self.catalog, usize::MAX);
+                    continue;
+                }
+                _ = every.tick() => {
+                    self.sight.report(&self.catalog, sight::MOST_LINES);
+                    continue;
+                }
+            };
+            self.sight.flush(self.clock.now());
+            let mut outputs = Vec::new();
+            self.catalog.handle(self.clock.now(), event, &mut outputs);
+            for output in outputs {
+                self.sight.see(&output, self.clock.now());
+                for step in self.steps(output) {
+                    if self.steps.send(step).await.is_err() {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    /// What the event loop has to know of an output.
+    fn steps(&mut self, output: Output) -> Vec<Step> {
+        match output {
+            Output::Added(added) if self.named.contains(&added.cluster) => {
+                self.members.insert(added.cluster.clone(), Members::default());
+                vec![Step::Added(added.cluster, added.settings)]
+            }
+            Output::Removed(removed) if self.members.remove(&removed.cluster).is_some() => {
+                vec![Step::Removed(removed.cluster)]
+            }
+            Output::Changed(change) => {
+                let words = self.sight.words(&change, self.clock.now());
+                let Some(members) = self.members.get_mut(&change.cluster) else { return Vec::new() };
+                let Turn { stops, takes } = members.change(&change.removed, change.upserted);
+                let (cluster, limits) = (change.cluster, change.settings);
+                let mut steps = vec![Step::Changed { cluster: cluster.clone(), limits, stops, takes, words }];
+                if members.is_spent() {
+                    let Turn { stops, takes } = members.renew();
+                    let limits = self.catalog.cluster(&cluster).map(|served| *served.settings);
+                    let limits = limits.unwrap_or_default();
+                    steps.push(Step::Renewed { cluster, limits, stops, takes });
+                }
+                steps
+            }
+            Output::AskAgain { cluster, source } => {
+                // Danger: waiting for a source that waits for us. Without room the catalog asks again later.
+                self.asks
+                    .get(&source)
+                    .into_iter()
+                    .for_each(|asks| _ = asks.try_send(Ask { cluster: cluster.clone() }));
+                Vec::new()
+            }
+            _ => Vec::new(),
+        }
+    }
+}
--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -1,13 +1,19 @@
 //! The command line.
 
-use crate::clusters::Clusters;
+use crate::clock::Clock;
+use crate::clusters::{Clusters, Routing, Start};
 use crate::config::{Changes, Config};
-use crate::{listen, reload, shutdown};
+use crate::operators::Operators;
+use crate::{catalog, listen, reload, shutdown};
 use argh::FromArgs;
 use slog::{Drain, Logger, crit, info, o};
+use std::cell::RefCell;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::Notify;
+use tokio::sync::mpsc::Sender;
 
 /// A load-balancing proxy: one program in front of every tier.
 #[derive(FromArgs)]
@@ -81,6 +87,26 @@
     ExitCode::FAILURE
 }
 
+/// Starts the catalog that the operators' file asks for.
+fn with_catalog(
+    operators: Operators,
+    clock: Clock,
+    log: &Logger,
+) -> Result<(Routing, catalog::Handle), catalog::StartError> {
+    let named = operators.named();
+    let Operators { sources, policy, clusters: overrides, rules, .. } = operators;
+    let handle = catalog::start(sources, policy, named.clone(), clock, log.clone())?;
+    Ok((Routing { named, rules, overrides }, handle))
+}
+
+/// SIGUSR1 has all told to the log, by the event loop and by the catalog.
+async fn pass_on(mut ask: Signal, asked: Rc<Notify>, report: Sender<()>) {
+    while ask.recv().await.is_some() {
+        asked.notify_one();
+        let _ = report.try_send(()); // one report answers all who ask meanwhile
+    }
+}
+
 fn serve(config: Config) -> ExitCode {
     // Lines go to standard error from a thread of their own; when it can't keep up they are dropped, and
     // a reader that stalls never stalls the proxy.
@@ -90,12 +116,25 @@
     let log = Logger::root(drain.fuse(), o!("proxy" => config.name.clone()));
     let done = actix_rt::System::new().block_on(async {
         let hang_up = reload::register()?; // before anything that takes time
-        let listener = listen::bind(config.listen)?;
-        info!(log, "listening"; "on" => %config.listen, "version" => env!("CARGO_PKG_VERSION"));
-        let (sockets, origin) = (config.sockets, config.origin.clone());
-        let clusters = Clusters::start(config, &log);
-        let (routes, site) = (clusters.routes.clone(), clusters.site.clone());
-        let gate = Rc::new(listen::Gate::new(routes, site, log.clone(), sockets));
+        let Config { listen, discovery, seed, sockets, known, origin, operators, .. } = config;
+        // Danger: unregistered, the signal ends the program. Without an operators' file it does, as ever.
+        let ask = operators.is_some().then(|| signal(SignalKind::user_defined1())).transpose()?;
+        let listener = listen::bind(listen)?;
+        info!(log, "listening"; "on" => %listen, "version" => env!("CARGO_PKG_VERSION"));
+        let (site, clock) = (Rc::new(RefCell::new(config.site)), Clock::start());
+        let (routing, catalog) = match operators {
+            Some(operators) => with_catalog(operators, clock, &log).map(|(r, c)| (r, Some(c)))?,
+            None => (Routing::default(), None),
+        };
+        let start = Start { site: site.clone(), clock, seed, sockets, discovery, known, routing };
+        let clusters = Clusters::start(start, &log);
+        if let (Some(catalog), Some(ask)) = (catalog, ask) {
+            let asked = Rc::new(Notify::new());
+            actix_rt::spawn(clusters.clone().follow(catalog.steps));
+            actix_rt::spawn(clusters.clone().keep_reporting(asked.clone()));
+            actix_rt::spawn(pass_on(ask, asked, catalog.report));
+        }
+        let gate = Rc::new(listen::Gate::new(clusters.routes.clone(), site, log.clone(), sockets));
         let adopt = {
             let gate = gate.clone();
             move |changes: &Changes| {
@@ -107,7 +146,7 @@
         let front = actix_rt::spawn(listen::serve(listener, gate.clone()));
         shutdown::on_signal(gate, log.clone()).await?;
         front.abort();
-        Ok::<_, std::io::Error>(())
+        Ok::<_, Box<dyn std::error::Error>>(())
     });
     let code = match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -6,6 +6,7 @@
 mod answer;
 mod backends;
 mod call;
+mod catalog;
 mod cli;
 mod clients;
 mod clock;
@@ -17,7 +18,6 @@
 mod invariant;
 mod listen;
 mod membership;
-#[allow(dead_code)]
 mod operators;
 mod platform;
 mod reload;
--- a/crates/proxy/src/operators/mod.rs
+++ b/crates/proxy/src/operators/mod.rs
@@ -37,7 +37,7 @@
 
 pub use problem::Problems;
 pub use read::read;
-pub use rules::{Criteria, Rules};
+pub use rules::Rules;
 
 use olivecart_membership::{ClusterName, ClusterSettings, Policy, SourceId};
 use std::collections::BTreeMap;
--- a/crates/proxy/src/operators/read.rs
+++ b/crates/proxy/src/operators/read.rs
@@ -292,7 +292,8 @@
             let name = host.strip_prefix("*.").unwrap_or(&host);
             let literal = name.starts_with('[') && name.ends_with(']');
             let label = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
-            if !(literal || !name.is_empty() && !name.starts_with('.') && name.chars().all(label)) {
+            let plain = !name.is_empty() && !name.starts_with('.') && name.chars().all(label);
+            if !literal && !plain {
                 let wanted = "a host without a port, or *. and a host";
                 self.wrong(text, format!("{key}.authority"), wanted);
             }
--- a/crates/proxy/tests/scenario/mod.rs
+++ b/crates/proxy/tests/scenario/mod.rs
@@ -9,15 +9,20 @@
 //! proxy wait ready                         waits for an event: `ready`, or the `exit` of the program
 //! proxy expect log TEXT                    waits for a line of the program's log with this in it
 //! file send discovery=@moved               replaces the configuration file; `send raw TEXT` for anything else
+//! disk list NAME cart=a,b/draining book=d  puts a file of endpoints in the place of another; `raw NAME TEXT`
+//!                                          writes one in place, `remove NAME` and `mkdir NAME` do that
 //! ```
 //!
 //! Clients are `c`, `c2`...; backends `a` and `b` answer probes by themselves, `a` is the preferred one, and a
 //! call is `on=same` or `on=new` connection; `x` comes before `a` but refuses connections; `discovery` is a
 //! peer like a backend, and `moved` another. Nothing sleeps: every wait is for an event.
 
+#![allow(dead_code)] // no test file uses all of it
+
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -41,7 +46,17 @@
 
 /// Plays a scenario with these backends in the known list, and these settings.
 pub fn play_with(known: &[&str], settings: &str, text: &str) {
-    let mut stage = Stage::set(known, settings);
+    play_all(known, settings, None, text);
+}
+
+/// Plays a scenario with an operators' file, which lies in the directory of the `disk`'s files; of it and them,
+/// `@NAME` is a backend's address.
+pub fn play_clusters(operators: &str, text: &str) {
+    play_all(&["a", "b"], SETTINGS, Some(operators), text);
+}
+
+fn play_all(known: &[&str], settings: &str, operators: Option<&str>, text: &str) {
+    let mut stage = Stage::set(known, settings, operators);
     for line in text.lines().map(str::trim).filter(|l| !l.is_empty()) {
         if let Err(what) = stage.step(line) {
             panic!("at `{line}`: {what}");
@@ -226,7 +241,8 @@
     listen: SocketAddr,
     peers: HashMap<String, Peer>,
     clients: HashMap<String, BufReader<TcpStream>>,
-    file: std::path::PathBuf,
+    file: PathBuf,
+    disk: PathBuf,
     log: Receiver<String>,
 }
 
@@ -236,24 +252,46 @@
     listener.local_addr().expect("bound")
 }
 
-pub fn config_file(text: &str) -> std::path::PathBuf {
+/// A path that nothing else of this run has.
+pub fn fresh(suffix: &str) -> PathBuf {
     static NUMBER: AtomicU32 = AtomicU32::new(0);
-    let name = format!("{}-{}.json", std::process::id(), NUMBER.fetch_add(1, Ordering::Relaxed));
-    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let name = format!("{}-{}{suffix}", std::process::id(), NUMBER.fetch_add(1, Ordering::Relaxed));
+    Path::new(env!("CARGO_TARGET_TMPDIR")).join(name)
+}
+
+pub fn config_file(text: &str) -> PathBuf {
+    let path = fresh(".json");
     std::fs::write(&path, text).expect("written");
     path
 }
 
-pub fn olivecart(command: &str, config: &std::path::Path) -> Command {
+/// A file of endpoints: `CLUSTER=ID/STATE,ID` words, with addresses by id.
+pub fn endpoints_file(words: &str, at: impl Fn(&str) -> String) -> String {
+    let mut text = "version = 1\n".to_owned();
+    for (cluster, ids) in words.split_whitespace().filter_map(|word| word.split_once('=')) {
+        text += &format!("[[clusters]]\nname = \"{cluster}\"\n");
+        text += if ids.is_empty() { "empty = true\n" } else { "" };
+        for (cell, id) in ids.split(',').filter(|id| !id.is_empty()).enumerate() {
+            let (id, state) = id.split_once('/').unwrap_or((id, "ready"));
+            text += &format!("[[clusters.endpoints]]\nname = \"{id}-0\"\naddress = \"{}\"\n", at(id));
+            text += &format!("state = \"{state}\"\nzone = \"z\"\ncell = {cell}\n");
+        }
+    }
+    text + "[end]\n"
+}
+
+pub fn olivecart(command: &str, config: &Path) -> Command {
     let mut program = Command::new(env!("CARGO_BIN_EXE_olivecart"));
     program.arg(command).env("EDGE_CONFIG", config);
-    ["EDGE_NAME", "EDGE_LISTEN", "EDGE_DISCOVERY"].iter().for_each(|name| _ = program.env_remove(name));
+    ["EDGE_NAME", "EDGE_LISTEN", "EDGE_DISCOVERY", "OLIVECART_CLUSTERS"]
+        .iter()
+        .for_each(|name| _ = program.env_remove(name));
     program
 }
 
 impl Stage {
-    fn set(known: &[&str], settings: &str) -> Stage {
-        let names = ["a", "b", "discovery", "moved"];
+    fn set(known: &[&str], settings: &str, operators: Option<&str>) -> Stage {
+        let names = ["a", "b", "d", "e", "discovery", "moved"];
         let peers: HashMap<_, _> = names.iter().map(|n| (n.to_string(), Peer::new())).collect();
         let listen = free_port();
         let server = |(cell, name): (usize, &&str)| {
@@ -269,12 +307,18 @@
         ));
         let mut program = olivecart("serve", &config);
         program.env("EDGE_DISCOVERY", peers["discovery"].addr.to_string()).stderr(Stdio::piped());
+        let disk = fresh("");
+        if let Some(text) = operators {
+            std::fs::create_dir(&disk).expect("a directory");
+            std::fs::write(disk.join("clusters.toml"), text).expect("written");
+            program.env("OLIVECART_CLUSTERS", disk.join("clusters.toml"));
+        }
         let mut program = program.spawn().expect("the program starts");
         let (lines, log) = channel();
         let said = BufReader::new(program.stderr.take().expect("piped"));
         // Read to the end, whether or not anybody asks for it.
         std::thread::spawn(move || said.lines().map_while(Result::ok).for_each(|l| _ = lines.send(l)));
-        let stage = Stage { program, listen, peers, clients: HashMap::new(), file: config, log };
+        let stage = Stage { program, listen, peers, clients: HashMap::new(), file: config, disk, log };
         stage.answers("/health/live", "200").expect("it starts");
         stage
     }
@@ -324,16 +368,13 @@
                 };
                 std::fs::write(&self.file, text).map_err(|e| e.to_string())
             }
+            ("disk", _, _) => self.disk(verb, rest),
             ("proxy", "wait", "exit") => {
                 let status = self.program.wait().map_err(|e| e.to_string())?;
                 if status.success() { Ok(()) } else { Err(status.to_string()) }
             }
             _ if self.peers.contains_key(who) => {
-                // Addresses in what discovery says are written @NAME.
-                let at = |text: String, (name, peer): (&String, &Peer)| {
-                    text.replace(&format!("@{name}"), &peer.addr.to_string())
-                };
-                let rest = self.peers.iter().fold(rest.to_owned(), at);
+                let rest = self.addressed(rest);
                 self.peers.get_mut(who).ok_or("no such peer")?.step(verb, &rest)
             }
             _ if who.starts_with('c') => self.client(who, verb, rest),
@@ -341,6 +382,32 @@
         }
     }
 
+    /// Addresses in what discovery says, and in files, are written @NAME.
+    fn addressed(&self, text: &str) -> String {
+        let at = |text: String, (name, peer): (&String, &Peer)| {
+            text.replace(&format!("@{name}"), &peer.addr.to_string())
+        };
+        self.peers.iter().fold(text.to_owned(), at)
+    }
+
+    fn disk(&mut self, verb: &str, rest: &str) -> Result<(), String> {
+        let (name, what) = rest.split_once(' ').unwrap_or((rest, ""));
+        let path = self.disk.join(name);
+        let done = match verb {
+            "list" => {
+                let text = endpoints_file(what, |id| self.peers[id].addr.to_string());
+                let beside = self.disk.join(".beside");
+                std::fs::write(&beside, text).and_then(|()| std::fs::rename(beside, path))
+            }
+            "raw" => std::fs::write(path, unescape(&self.addressed(what))),
+            "remove" if path.is_dir() => std::fs::remove_dir(path),
+            "remove" => std::fs::remove_file(path),
+            "mkdir" => std::fs::create_dir(path),
+            _ => return Err("no such step".into()),
+        };
+        done.map_err(|e| e.to_string())
+    }
+
     fn client(&mut self, who: &str, verb: &str, rest: &str) -> Result<(), String> {
         let plain = |e: std::io::Error| e.to_string();
         if verb == "send" && !self.clients.contains_key(who) {
@@ -390,6 +457,7 @@
 
 impl Drop for Stage {
     fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.disk); // there only with an operators' file
         let _ = self.program.kill(); // ended already, in the scenarios that wait for it
         let _ = self.program.wait();
     }
