--- a/crates/membership/src/watch/mod.rs
+++ b/crates/membership/src/watch/mod.rs
@@ -4,8 +4,8 @@
 //! none. It is read whole by a thread that may block, and checked before the catalog hears of it; what cannot
 //! be read or is no good changes nothing, and the last good one stands.
 //!
-//! [`look`](self) is what a file is at one moment, [`judge`](self) what follows from it, and [`run`] the task
-//! around both, which decides nothing.
+//! `look` is what a file is at one moment, `judge` what follows from it, and [`run`] the task around both, which
+//! decides nothing.
 
 mod eyes;
 mod judge;
@@ -17,7 +17,7 @@
 
 use crate::endpoint::Cluster;
 use crate::names::SourceId;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 /// What is watched.
@@ -56,3 +56,17 @@
 pub fn documented(texts: Vec<(String, String)>) -> Result<Vec<Cluster>, String> {
     crate::file::merge_fragments(texts).map_err(|problems| problems.to_string())
 }
+
+/// The texts of a file, or of a directory of fragments, as they are now; each with its name. Blocks.
+///
+/// # Errors
+/// Why it cannot be read, in words.
+pub fn texts(path: &Path) -> Result<Vec<(String, String)>, String> {
+    let kind = if path.is_dir() { Kind::Directory } else { Kind::File };
+    match look::look(path, kind, None) {
+        look::Look::Read(found) => Ok(found.texts),
+        look::Look::Lost(e) => Err(format!("{}: {e}", path.display())),
+        look::Look::Unusable(why) => Err(why),
+        look::Look::Same => Ok(Vec::new()), // compared with nothing, it is never the same
+    }
+}
--- a/crates/proxy/src/catalog/mod.rs
+++ b/crates/proxy/src/catalog/mod.rs
@@ -10,7 +10,7 @@
 mod sight;
 
 pub use members::Numbered;
-pub use origin::NotBuilt;
+pub use origin::{NotBuilt, check};
 
 use crate::clock::Clock;
 use crate::operators::{REGISTRY, Source};
@@ -68,9 +68,6 @@
 /// Why the catalog did not start.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
-    /// A source of a kind that this build does not have.
-    #[error(transparent)]
-    NotBuilt(#[from] NotBuilt),
     /// A figure of its caution.
     #[error(transparent)]
     Policy(#[from] BadPolicy),
@@ -87,7 +84,7 @@
     pub report: Sender<()>,
 }
 
-/// Starts the sources and the catalog. Only the clusters in `named` are told of: nothing leads to others.
+/// Starts the sources, which [`check`] has passed, and the catalog. Only the clusters in `named` are told of: nothing leads to others.
 ///
 /// # Errors
 /// Nothing has been started.
@@ -98,7 +95,6 @@
     clock: Clock,
     log: Logger,
 ) -> Result<Handle, StartError> {
-    origin::check(&sources)?;
     let catalog = Catalog::new(policy, sources.iter().map(|source| source.id.clone()))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let ((into, steps), (report, reports)) = (channel(STEPS), channel(1));
--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -4,7 +4,7 @@
 use crate::clusters::{Clusters, Routing, Start};
 use crate::config::{Changes, Config};
 use crate::operators::Operators;
-use crate::{catalog, listen, reload, shutdown};
+use crate::{catalog, listen, reload, shutdown, tools};
 use argh::FromArgs;
 use slog::{Drain, Logger, crit, info, o};
 use std::cell::RefCell;
@@ -27,6 +27,7 @@
 enum Command {
     Serve(Serve),
     Check(Check),
+    Catalog(tools::Catalog),
     Version(Version),
 }
 
@@ -68,6 +69,7 @@
             println!("olivecart {}", env!("CARGO_PKG_VERSION"));
             ExitCode::SUCCESS
         }
+        Command::Catalog(asked) => tools::run(asked),
         Command::Check(Check { config, clusters }) => match Config::from_environment(config, clusters) {
             Ok(config) => {
                 println!("{config}");
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -1,5 +1,6 @@
 //! The one place where configuration is read, given defaults and checked. Messages name the faulty key.
 
+use crate::catalog;
 use crate::operators::{self, Operators};
 use olivecart_decisions::ClassId;
 use olivecart_settings::{SettingsError, Site};
@@ -42,6 +43,9 @@
     /// The operators' file is unusable.
     #[error(transparent)]
     Operators(#[from] operators::Problems),
+    /// It asks for what this build does not have.
+    #[error(transparent)]
+    NotBuilt(#[from] catalog::NotBuilt),
 }
 
 /// The file's keys; unknown ones are skipped.
@@ -240,7 +244,9 @@
     let text = std::fs::read_to_string(path).map_err(|e| ConfigError::NoOperators(path.to_owned(), e))?;
     let class = |name: &str| site.classes.get(name).map(|class| ClassId(class as u16));
     let beside = path.parent().unwrap_or(Path::new(""));
-    Ok(operators::read(&path.to_string_lossy(), &text, beside, &class)?)
+    let operators = operators::read(&path.to_string_lossy(), &text, beside, &class)?;
+    catalog::check(&operators.sources)?;
+    Ok(operators)
 }
 
 /// A value with the name of the variable or key that it comes from.
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -23,6 +23,7 @@
 mod reload;
 mod shutdown;
 mod stages;
+mod tools;
 mod wire;
 
 use std::process::ExitCode;
