Show under load that what drains is sent nothing, and that a file in bad hands serves nothing invalid

A thousand seeded rewrites through torn, empty, senseless and valid versions: the trap that all invalid ones name was never called, and the proxy ended on the last valid one. Scenarios: a cluster that goes with requests open and comes back as another, one endpoint in two clusters, a cluster's limits, what the log shows. The mangler is in the lab's library.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod engine;
 pub mod experiment;
+pub mod mangler;
 pub mod model;
 mod nearest;
 pub mod policy;
--- a/crates/proxy/src/catalog/mod.rs
+++ b/crates/proxy/src/catalog/mod.rs
@@ -136,18 +136,13 @@
                     None => std::future::pending().await,
                 }
             };
-            let event = tokio::select! {
+            let (event, report) = tokio::select! {
                 () = self.steps.closed() => return,
-                Some(Heard { event, .. }) = heard.recv() => event,
-                () = tick => Event::Tick,
-                Some(()) = reports.recv() => {
-                    self.sight.report(&self.catalog, usize::MAX);
-                    continue;
-                }
-                _ = every.tick() => {
-                    self.sight.report(&self.catalog, sight::MOST_LINES);
-                    continue;
-                }
+                Some(Heard { event, .. }) = heard.recv() => (event, None),
+                () = tick => (Event::Tick, None),
+                // The tick brings the catalog's time up to date.
+                Some(()) = reports.recv() => (Event::Tick, Some(usize::MAX)),
+                _ = every.tick() => (Event::Tick, Some(sight::MOST_LINES)),
             };
             self.sight.flush(self.clock.now());
             let mut outputs = Vec::new();
@@ -160,6 +155,7 @@
                     }
                 }
             }
+            report.iter().for_each(|most| self.sight.report(&self.catalog, *most));
         }
     }
 
--- a/crates/proxy/tests/clusters.rs
+++ b/crates/proxy/tests/clusters.rs
@@ -1,7 +1,7 @@
 //! Several clusters in one proxy, from watched files. The language is in `scenario/mod.rs`.
 
 mod scenario;
-use scenario::{SETTINGS, config_file, endpoints_file, fresh, olivecart, play_clusters};
+use scenario::{SETTINGS, config_file, endpoints_file, fresh, olivecart, play, play_clusters};
 use std::path::Path;
 use std::process::Command;
 
@@ -143,3 +143,156 @@
         assert!(ended == Some(code) && said.contains(message), "{arguments:?}: {ended:?} {said}");
     }
 }
+
+#[test]
+fn a_cluster_that_goes_ends_what_it_took_and_comes_back_as_another() {
+    play_clusters(
+        OPERATORS,
+        "disk list fleet.toml cart=d book=e
+         proxy expect log cluster changed
+         proxy expect log cluster changed
+         c send GET /kept
+         d expect GET /kept
+         d send 200 | kept
+         c expect 200 | kept
+         c send GET /open
+         d expect GET /open
+         c2 send GET /lost
+         d expect GET /lost on=new
+         disk list fleet.toml book=e
+         proxy expect log cluster removed
+         c3 send GET /new
+         c3 expect 503 retry-after=* | refused: cluster cart was removed\\n
+         disk list fleet.toml book=e cart=a
+         proxy expect log cluster changed
+         c3 send GET /new
+         a expect GET /new
+         a send 200 | another
+         c3 expect 200 | another
+         d close
+         c2 expect 503
+         c4 send POST /book X-Class=book | x
+         e expect POST /book | x
+         e send 200 | undisturbed
+         c4 expect 200 | undisturbed
+         c close
+         proxy expect log has ended its last request",
+    );
+}
+
+#[test]
+fn what_was_open_when_its_cluster_went_is_still_answered() {
+    play_clusters(
+        OPERATORS,
+        "disk list fleet.toml cart=d book=e
+         proxy expect log cluster changed
+         proxy expect log cluster changed
+         c send GET /open
+         d expect GET /open
+         disk list fleet.toml book=e
+         proxy expect log cluster removed
+         d send 200 | whole
+         c expect 200 | whole
+         d expect closed
+         proxy expect log has ended its last request",
+    );
+}
+
+#[test]
+fn an_endpoint_of_two_clusters_has_its_state_in_each_and_connections_of_each() {
+    play_clusters(
+        OPERATORS,
+        "disk list fleet.toml cart=d,e book=d,e
+         proxy expect log cluster changed
+         proxy expect log cluster changed
+         c send GET /1
+         e expect GET /1
+         e send 200 | 1
+         c expect 200 | 1
+         c2 send POST /2 X-Class=book | x
+         e expect POST /2 on=new
+         e send 200 | 2
+         c2 expect 200 | 2
+         disk list fleet.toml cart=d,e/draining book=d,e
+         proxy expect log cluster changed
+         c send GET /3
+         d expect GET /3
+         d send 200 | 3
+         c expect 200 | 3
+         c2 send POST /4 X-Class=book | x
+         e expect POST /4 on=same
+         e send 200 | 4
+         c2 expect 200 | 4",
+    );
+}
+
+#[test]
+fn the_limits_of_a_cluster_are_its_own_and_the_operators_word_counts_first() {
+    let limited =
+        OPERATORS.replace("[catalog]", "[[clusters]]\nname = \"cart\"\nmax_requests = 1\n[catalog]");
+    play_clusters(
+        &limited,
+        "disk list fleet.toml cart=d book=e
+         proxy expect log cluster changed
+         proxy expect log cluster changed
+         c send GET /1
+         d expect GET /1
+         c2 send GET /2
+         c2 expect 503 retry-after=*
+         c3 send POST /3 X-Class=book X-Request-Id=r3 | x
+         e expect POST /3 | x
+         d send 200 | 1
+         c expect 200 | 1
+         c4 send GET /4 X-Request-Id=r3
+         c4 expect 409
+         e send 200 | 3
+         c3 expect 200 | 3",
+    );
+}
+
+#[test]
+fn what_is_wrong_with_a_file_is_told_and_shown_until_it_is_good_again() {
+    let careful = OPERATORS.replace("hold = \"0s\"", "hold = \"10m\"");
+    play_clusters(
+        &careful,
+        "disk list fleet.toml cart=d,e book=e
+         proxy expect log cluster changed
+         proxy expect log cluster changed
+         disk raw fleet.toml version = 1\\n[[clusters]]\\nname = \"cart\"\\n
+         proxy expect log no [end] as the last line
+         proxy send USR1
+         proxy expect log open_requests: 0, there: true, cluster: cart
+         proxy expect log quiet for
+         proxy expect log cart: from fleet, 2 ready, 0 draining
+         disk list fleet.toml cart=a,b book=e
+         proxy expect log all 2 ready endpoints gone at once
+         proxy send USR1
+         proxy expect log cart: from fleet, 2 ready
+         proxy expect log all 2 ready endpoints gone at once, d-0 first; asked again in
+         c send GET /1
+         e expect GET /1
+         e send 200 | 1
+         c expect 200 | 1
+         disk list fleet.toml cart=d,e book=e
+         proxy expect log withdrawn
+         disk remove fleet.toml
+         proxy expect log cannot be read, the last good one stands
+         c send GET /2
+         e expect GET /2
+         e send 200 | 2
+         c expect 200 | 2",
+    );
+}
+
+#[test]
+fn without_an_operators_file_there_is_no_catalog_and_nothing_is_led_anywhere() {
+    // The signal that asks a catalog to tell of itself ends a program that has none.
+    play(
+        "c send GET /old/1 Host=eu.books.internal
+         a expect GET /old/1
+         a send 200 | registry
+         c expect 200 | registry
+         proxy send USR1
+         proxy wait signal 10",
+    );
+}
--- /dev/null
+++ b/crates/proxy/tests/clusters_under_load.rs
@@ -0,0 +1,107 @@
+//! Clusters that change while requests run.
+
+mod fleet;
+mod scenario;
+
+use fleet::{Backend, Client, Load, Proxy};
+use olivecart_lab::mangler::{Listed, Mangler, Mangling};
+use scenario::SETTINGS;
+use std::time::Duration;
+
+const OPERATORS: &str = r#"version = 1
+default = "cart"
+[[sources]]
+name = "fleet"
+file = "fleet.toml"
+[catalog]
+hold = "0s"
+"#;
+
+/// What drains or has been removed gets nothing new after this.
+const GRACE: Duration = Duration::from_millis(500);
+
+fn listed<'a>(endpoints: impl IntoIterator<Item = (&'a str, &'a Backend, &'static str)>) -> Listed {
+    let endpoint = |(id, backend, state): (&str, &Backend, _)| (id.to_owned(), backend.addr, state);
+    Listed { cluster: "cart".into(), endpoints: endpoints.into_iter().map(endpoint).collect() }
+}
+
+#[test]
+fn what_drains_or_leaves_is_sent_nothing_after_half_a_second() {
+    // A window of six endpoints moves over 24: at each push one joins, the oldest drains or is removed, and what
+    // was removed comes back under the same id long after.
+    let (count, live, pushes) = (24, 6, 300);
+    let ids: Vec<String> = (0..count).map(|n| format!("e{n}")).collect();
+    let backends: Vec<Backend> = ids.iter().map(|id| Backend::new(id)).collect();
+    let proxy = Proxy::start(Some(OPERATORS), SETTINGS);
+    let window = |first: usize, gone: &'static str| {
+        let ready = (first..first + live).map(|n| (n % count, "ready"));
+        let drains =
+            (first + count - 3..first + count).map(|n| (n % count, gone)).filter(|(_, s)| !s.is_empty());
+        listed(ready.chain(drains).map(|(n, state)| (ids[n].as_str(), &backends[n], state)))
+    };
+    proxy.list(&window(0, "").file(1));
+    proxy.line("cluster changed");
+    let load = Load::start(proxy.listen, 12);
+    let mut late = Vec::new();
+    for push in 1..=pushes {
+        let (stops, joins) = (&backends[(push - 1) % count], &backends[(push + live - 1) % count]);
+        late.extend(joins.stop(false));
+        let before = joins.calls();
+        stops.stop(true);
+        proxy.list(&window(push, ["draining", "", "unhealthy"][push % 3]).file(1));
+        joins.wait_past(before);
+    }
+    late.extend(backends.iter().filter_map(|backend| backend.stop(false)));
+    let tally = load.end();
+    let latest = late.iter().max().copied().unwrap_or_default();
+    println!(
+        "{pushes} pushes, {} with a call after them, the latest after {latest:?}; {tally:?}",
+        late.len()
+    );
+    assert!(latest < GRACE, "a call {latest:?} after the push");
+    assert_eq!(tally.keys().collect::<Vec<_>>(), [&200], "{tally:?}");
+}
+
+#[test]
+fn a_file_in_bad_hands_never_serves_what_is_invalid_and_ends_on_the_last_that_is_valid() {
+    let trap = Backend::new("trap");
+    let names = ["a", "b", "d", "e", "f"];
+    let backends = names.map(Backend::new);
+    let proxy = Proxy::start(Some(OPERATORS), SETTINGS);
+    let mut mangler = Mangler::new(proxy.disk.join("fleet.toml"), 8, trap.addr);
+    // Two of five at a time, so that each valid version shows by whom it adds.
+    let version = |n: usize| {
+        let pair = [n % names.len(), (n + 1) % names.len()];
+        listed(pair.map(|at| (names[at], &backends[at], "ready")))
+    };
+    mangler.mangle(Mangling::Renamed, &version(0)).expect("done");
+    proxy.line("cluster changed");
+    let load = Load::start(proxy.listen, 8);
+    let (mut done, mut valid) = (0, 0);
+    while done < 1000 {
+        for _ in 0..19 {
+            mangler.any(&version(valid)).expect("done");
+        }
+        valid += 1;
+        let joins = &backends[(valid + 1) % names.len()];
+        let before = joins.calls();
+        let what = if valid % 2 == 0 { Mangling::Renamed } else { Mangling::InPlace };
+        mangler.mangle(what, &version(valid)).expect("done");
+        joins.wait_past(before);
+        done += 20;
+    }
+    let last = Backend::new("last");
+    mangler.mangle(Mangling::InPlace, &listed([("last", &last, "ready")])).expect("done");
+    last.wait_past(0);
+    proxy.log.try_iter().for_each(drop);
+    for _ in 0..9 {
+        let not_valid: Vec<_> = Mangling::ALL.into_iter().filter(|what| !what.is_valid()).collect();
+        not_valid.iter().for_each(|what| mangler.mangle(*what, &version(0)).expect("done"));
+    }
+    proxy.line("No such file"); // it has seen where the file ended
+    let mut client = Client::new(proxy.listen);
+    (0..200).for_each(|_| assert_eq!(client.call(), Some((200, "last".into()))));
+    let tally = load.end();
+    assert_eq!(tally.keys().collect::<Vec<_>>(), [&200], "{tally:?}");
+    assert_eq!(trap.calls(), 0, "an invalid version was served");
+}
--- /dev/null
+++ b/crates/proxy/tests/figures.rs
@@ -0,0 +1,188 @@
+//! Figures, not verdicts: how long a change takes to be in force, what it costs, and how long it holds the
+//! event loop. Run on its own, built for release:
+//!
+//! ```text
+//! cargo test --release -p olivecart --test figures -- --ignored --nocapture --test-threads 1
+//! ```
+
+mod fleet;
+mod scenario;
+
+use fleet::{Backend, Client, Load, Proxy};
+use scenario::SETTINGS;
+use std::fmt::Write;
+use std::fs;
+use std::process::Command;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+use std::time::{Duration, Instant};
+
+const OPERATORS: &str = r#"version = 1
+default = "cart"
+[[sources]]
+name = "fleet"
+file = "fleet.toml"
+[catalog]
+hold = "0s"
+"#;
+
+/// Near endpoints that are there. The others are far, so that no request goes to them, and nobody listens.
+const REAL: usize = 10;
+
+fn file(backends: &[Backend], drains: Option<usize>, count: usize, weight: u32, odd: Option<u32>) -> String {
+    let mut text = "version = 1\n[[clusters]]\nname = \"cart\"\n".to_owned();
+    for at in 0..count {
+        let (address, zone) = match backends.get(at) {
+            Some(backend) => (backend.addr.to_string(), "z"),
+            None => (format!("127.{}.{}.{}:9", 64 + (at >> 16), (at >> 8) & 255, at & 255), "y"),
+        };
+        let state = if drains == Some(at) { "draining" } else { "ready" };
+        let weight = if at + 1 == count { odd.unwrap_or(weight) } else { weight };
+        let _ = write!(
+            text,
+            "[[clusters.endpoints]]\nname = \"s-{at:05}\"\naddress = \"{address}\"\nstate = \"{state}\"\n\
+             zone = \"{zone}\"\nweight = {weight}\n"
+        );
+    }
+    text + "[end]\n"
+}
+
+/// CPU time so far, resident and most resident memory in KiB, and open descriptors, of the proxy.
+fn usage(proxy: &Proxy) -> (Duration, u64, u64, usize) {
+    let read = |name: &str| fs::read_to_string(format!("/proc/{}/{name}", proxy.id())).unwrap_or_default();
+    let stat = read("schedstat"); // nanoseconds of the main thread; the others' are summed below
+    let mut cpu = stat.split(' ').next().and_then(|ns| ns.parse().ok()).unwrap_or(0);
+    if let Ok(tasks) = fs::read_dir(format!("/proc/{}/task", proxy.id())) {
+        let of = |task: fs::DirEntry| fs::read_to_string(task.path().join("schedstat")).unwrap_or_default();
+        cpu = tasks.flatten().map(of).filter_map(|s| s.split(' ').next()?.parse::<u64>().ok()).sum();
+    }
+    let status = read("status");
+    let line = |name: &str| {
+        let line = status.lines().find(|line| line.starts_with(name))?;
+        line.split_whitespace().nth(1)?.parse().ok()
+    };
+    let descriptors = fs::read_dir(format!("/proc/{}/fd", proxy.id())).map_or(0, |fds| fds.count());
+    (Duration::from_nanos(cpu), line("VmRSS").unwrap_or(0), line("VmHWM").unwrap_or(0), descriptors)
+}
+
+/// Asks for the proxy's own health all the time: the slowest answer bounds every hold of the event loop.
+fn pinger(proxy: &Proxy, ends: &Arc<AtomicBool>) -> std::thread::JoinHandle<Vec<Duration>> {
+    let (to, ends) = (proxy.listen, ends.clone());
+    std::thread::spawn(move || {
+        let (mut client, mut took) = (Client::new(to), Vec::new());
+        while !ends.load(SeqCst) {
+            let began = Instant::now();
+            match client.get("/health/live") {
+                Some(_) => took.push(began.elapsed()),
+                None => client = Client::new(to),
+            }
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        took
+    })
+}
+
+fn spread(mut of: Vec<Duration>) -> String {
+    of.sort();
+    let at = |share: f64| of[((of.len() - 1) as f64 * share) as usize];
+    format!("median {:.1?}, p99 {:.1?}, worst {:.1?} of {}", at(0.5), at(0.99), at(1.0), of.len())
+}
+
+fn without_probes() -> String {
+    SETTINGS.replace("\"probes\":true", "\"probes\":false")
+}
+
+#[test]
+#[ignore = "figures"]
+fn from_change_to_last_new_request() {
+    for count in [10, 1_000, 10_000] {
+        let backends: Vec<Backend> = (0..REAL).map(|at| Backend::new(&at.to_string())).collect();
+        let proxy = Proxy::start(Some(OPERATORS), &without_probes());
+        proxy.list(&file(&backends, None, count, 1, None));
+        proxy.line("cluster changed");
+        let load = Load::start(proxy.listen, 4);
+        backends[0].wait_past(0);
+        let mut late = Vec::new();
+        for push in 0..300 {
+            let (stops, joins) = (&backends[push % REAL], &backends[(push + REAL - 1) % REAL]);
+            late.extend(joins.stop(false));
+            let before = joins.calls();
+            let text = file(&backends, Some(push % REAL), count, 1, None);
+            stops.stop(true);
+            proxy.list(&text);
+            joins.wait_past(before);
+        }
+        let tally = load.end();
+        println!("{count} endpoints: {}; answers {tally:?}", spread(late));
+    }
+}
+
+#[test]
+#[ignore = "figures"]
+fn cost_of_a_push_and_longest_hold() {
+    for count in [10, 1_000, 10_000] {
+        let backends: Vec<Backend> = (0..REAL).map(|at| Backend::new(&at.to_string())).collect();
+        let proxy = Proxy::start(Some(OPERATORS), &without_probes());
+        let idle = usage(&proxy);
+        proxy.list(&file(&backends, None, count, 1, None));
+        proxy.line("cluster changed");
+        let first = usage(&proxy);
+        println!(
+            "{count} endpoints: first list: CPU {:.1?}, {} -> {} KiB, most {} KiB",
+            first.0 - idle.0,
+            idle.1,
+            first.1,
+            first.2
+        );
+        for (what, full) in [("one endpoint", false), ("all endpoints", true)] {
+            let texts: Vec<String> = (0..100)
+                .map(|n| file(&backends, None, count, if full { 1 + n % 2 } else { 1 }, Some(2 + n)))
+                .collect();
+            for loaded in [false, true] {
+                let load = Load::start(proxy.listen, if loaded { 4 } else { 0 });
+                let ends = Arc::<AtomicBool>::default();
+                let ping = pinger(&proxy, &ends);
+                // What the clients and the pings cost, for as long, without pushes.
+                let before = usage(&proxy);
+                std::thread::sleep(Duration::from_millis(100) * texts.len() as u32);
+                let between = usage(&proxy);
+                for text in &texts {
+                    proxy.list(text);
+                    std::thread::sleep(Duration::from_millis(100));
+                }
+                let after = usage(&proxy);
+                ends.store(true, SeqCst);
+                let pings = ping.join().expect("no panic");
+                let tally = load.end();
+                let cpu = (after.0 - between.0).saturating_sub(between.0 - before.0) / texts.len() as u32;
+                println!(
+                    "  {what} changed ten times a second, {}: CPU {cpu:.1?} a push, most {} KiB; pings {}; {tally:?}",
+                    if loaded { "under load" } else { "no load" },
+                    after.2,
+                    spread(pings)
+                );
+            }
+        }
+        proxy.log.try_iter().for_each(drop);
+        let _ = Command::new("kill").args(["-USR1", &proxy.id().to_string()]).status();
+        println!("  {}", proxy.line("longest_part_us"));
+    }
+}
+
+#[test]
+#[ignore = "figures"]
+fn off_and_on_at_the_platforms_limits() {
+    for (what, operators) in [("off", None), ("on, 10 endpoints", Some(OPERATORS))] {
+        let backends: Vec<Backend> = (0..REAL).map(|at| Backend::new(&at.to_string())).collect();
+        let proxy = Proxy::start(operators, SETTINGS);
+        proxy.list(&file(&backends, None, REAL, 1, None));
+        if operators.is_some() {
+            proxy.line("cluster changed");
+        }
+        std::thread::sleep(Duration::from_secs(1));
+        let (cpu, now, most, descriptors) = usage(&proxy);
+        println!(
+            "{what}: {now} KiB, most {most} KiB, {descriptors} descriptors, CPU {cpu:.1?} in its first second"
+        );
+    }
+}
--- a/crates/proxy/tests/scenario/mod.rs
+++ b/crates/proxy/tests/scenario/mod.rs
@@ -6,7 +6,7 @@
 //! a send 200 | answer                      its answer; `send raw TEXT`, `send chunk TEXT` for less or worse
 //! c expect 200 | answer                    the client's answer; NAME=* asks only for a header's presence
 //! c close                                  closes a connection; `expect closed` waits for the other side's
-//! proxy wait ready                         waits for an event: `ready`, or the `exit` of the program
+//! proxy wait ready                         waits for an event: `ready`, the `exit` of the program, `signal N`
 //! proxy expect log TEXT                    waits for a line of the program's log with this in it
 //! file send discovery=@moved               replaces the configuration file; `send raw TEXT` for anything else
 //! disk list NAME cart=a,b/draining book=d  puts a file of endpoints in the place of another; `raw NAME TEXT`
@@ -22,6 +22,7 @@
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::ExitStatusExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -29,7 +30,7 @@
 use std::time::{Duration, Instant};
 
 /// Longer than anything takes on any machine; a test that gets here has failed.
-const NEVER: Duration = Duration::from_secs(60);
+pub const NEVER: Duration = Duration::from_secs(60);
 
 pub const SETTINGS: &str = r#"{"a-key-of-tomorrow":[1],"dcs":["z"],"zone":"z","me":0,"group-size":1,"tier":0,
 "registry-mode":"automatic","granularity-ns":1000000,"accounts":[{"name":"t","share":1.0,"quota-per-s":100.0}],
@@ -247,7 +248,7 @@
 }
 
 /// Where nobody listens: the port was free a moment ago.
-fn free_port() -> SocketAddr {
+pub fn free_port() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     listener.local_addr().expect("bound")
 }
@@ -351,12 +352,12 @@
                 let (name, id) = (format!("-{name}"), self.program.id().to_string());
                 Command::new("kill").args([name, id]).status().map_err(|e| e.to_string()).map(drop)
             }
-            ("proxy", "expect", _) if rest.starts_with("log ") => loop {
-                let line = self.log.recv_timeout(NEVER).map_err(|_| "no such line")?;
-                if line.contains(&rest[4..]) {
-                    return Ok(());
-                }
-            },
+            ("proxy", "expect", _) if rest.starts_with("log ") => {
+                let end = Instant::now() + NEVER;
+                let next = || self.log.recv_timeout(end.saturating_duration_since(Instant::now()));
+                while !next().map_err(|_| "no such line")?.contains(&rest[4..]) {}
+                Ok(())
+            }
             ("file", "send", _) => {
                 let old = std::fs::read_to_string(&self.file).map_err(|e| e.to_string())?;
                 let text = match (rest.strip_prefix("raw "), rest.split_once("=@")) {
@@ -373,6 +374,11 @@
                 let status = self.program.wait().map_err(|e| e.to_string())?;
                 if status.success() { Ok(()) } else { Err(status.to_string()) }
             }
+            ("proxy", "wait", _) if rest.starts_with("signal ") => {
+                let status = self.program.wait().map_err(|e| e.to_string())?;
+                let ended = status.signal().map(|signal| signal.to_string());
+                if ended.as_deref() == Some(&rest[7..]) { Ok(()) } else { Err(status.to_string()) }
+            }
             _ if self.peers.contains_key(who) => {
                 let rest = self.addressed(rest);
                 self.peers.get_mut(who).ok_or("no such peer")?.step(verb, &rest)
