--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod demo;
 pub mod engine;
 pub mod experiment;
+pub mod mangler;
 pub mod model;
 mod nearest;
 pub mod policy;
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -6,19 +6,24 @@
 mod answer;
 mod backends;
 mod call;
+mod catalog;
 mod cli;
 mod clients;
 mod clock;
+mod clusters;
 mod config;
+mod descriptors;
 mod discovery;
 mod driver;
 mod invariant;
 mod listen;
 mod membership;
+mod operators;
 mod platform;
 mod reload;
 mod shutdown;
 mod stages;
+mod tools;
 mod wire;
 
 use std::process::ExitCode;
--- /dev/null
+++ b/crates/proxy/tests/clusters.rs
@@ -0,0 +1,298 @@
+//! Several clusters in one proxy, from watched files. The language is in `scenario/mod.rs`.
+
+mod scenario;
+use scenario::{SETTINGS, config_file, endpoints_file, fresh, olivecart, play, play_clusters};
+use std::path::Path;
+use std::process::Command;
+
+/// Two clusters of one file, nothing held back, the registry for one path.
+const OPERATORS: &str = r#"version = 1
+default = "cart"
+[[sources]]
+name = "fleet"
+file = "fleet.toml"
+[[rules]]
+cluster = "book"
+class = "book"
+[[rules]]
+cluster = "book"
+authority = "*.books.internal"
+path = "/v2"
+[[rules]]
+cluster = "registry"
+path = "/old"
+[catalog]
+hold = "0s"
+"#;
+
+#[test]
+fn a_request_goes_to_the_cluster_that_the_rules_say_and_waits_for_none_that_is_not_there() {
+    play_clusters(
+        OPERATORS,
+        "c send GET /1
+         c expect 503 retry-after=* | refused: cluster cart is not there yet\\n
+         c send GET /old/1
+         a expect GET /old/1
+         a send 200 | registry
+         c expect 200 | registry
+         disk list fleet.toml cart=d book=e
+         proxy expect log changed: fleet said so
+         proxy expect log changed: fleet said so
+         c send GET /1
+         d expect GET /1
+         d send 200 | cart
+         c expect 200 | cart
+         c send POST /1 X-Class=book | x
+         e expect POST /1 | x
+         e send 200 | book
+         c expect 200 | book
+         c send GET /v2/x Host=eu.books.internal:80
+         e expect GET /v2/x host=eu.books.internal:80
+         e send 200 | book
+         c expect 200 | book
+         c send raw GET http://eu.books.internal/v2 HTTP/1.1\\r\\nHost: other\\r\\nX-Request-Id: r\\r\\nX-Class: view\\r\\n\\r\\n
+         e expect GET /v2
+         e send 200 | book
+         c expect 200 | book
+         c send GET /v2x Host=eu.books.internal
+         d expect GET /v2x
+         d send 200 | cart
+         c expect 200 | cart",
+    );
+}
+
+fn output(program: &mut Command) -> (Option<i32>, String) {
+    let run = program.output().expect("it runs");
+    let both = [run.stdout, run.stderr].concat();
+    (run.status.code(), String::from_utf8_lossy(&both).into_owned())
+}
+
+fn catalog(arguments: &[&Path]) -> (Option<i32>, String) {
+    let mut program = olivecart("catalog", Path::new(""));
+    output(program.args(arguments))
+}
+
+#[test]
+fn the_examples_are_good_and_say_what_their_comments_say() {
+    let examples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/examples");
+    let config = config_file(&format!(
+        r#"{{"listen":"127.0.0.1:8081","discovery":"127.0.0.1:8500","settings":{SETTINGS}}}"#
+    ));
+    let (code, said) =
+        output(olivecart("check", &config).arg("--clusters").arg(examples.join("clusters.toml")));
+    assert!(
+        code == Some(0) && said.ends_with("clusters   cart book registry, rules 3, default cart\n"),
+        "{said}"
+    );
+    let (code, said) = catalog(&[Path::new("check"), &examples.join("endpoints.toml")]);
+    assert_eq!(code, Some(0), "{said}");
+    assert!(said.contains("cart: 2 ready, 1 draining, 1 in zone north, 2 in zone south, weight 3"), "{said}");
+}
+
+#[test]
+fn a_bad_operators_file_is_turned_away_with_its_place() {
+    let config = config_file(&format!(
+        r#"{{"listen":"127.0.0.1:8081","discovery":"127.0.0.1:8500","settings":{SETTINGS}}}"#
+    ));
+    let xds = "version = 1\n[[sources]]\nname = \"p\"\nxds = \"h:1\"\nnode = \"n\"\n";
+    for (text, message) in [
+        (
+            "version = 1\n[[rules]]\ncluster = \"x\"\nclass = \"steal\"\n",
+            ":4:9: rules[0].class: the platform's",
+        ),
+        (xds, "source p: xDS is not built into this program"),
+    ] {
+        let path = fresh(".toml");
+        std::fs::write(&path, text).expect("written");
+        for command in ["check", "serve"] {
+            let (code, said) = output(olivecart(command, &config).env("OLIVECART_CLUSTERS", &path));
+            assert!(code == Some(1) && said.contains(message), "{command}: {said}");
+        }
+    }
+    let (code, said) = output(olivecart("check", &config).env("OLIVECART_CLUSTERS", "/nowhere"));
+    assert!(code == Some(1) && said.contains("OLIVECART_CLUSTERS: /nowhere: No such file"), "{said}");
+}
+
+#[test]
+fn the_tools_tell_what_a_file_amounts_to_and_what_another_would_change() {
+    let file = |words: &str| {
+        let path = fresh(".toml");
+        let at = |id: &str| format!("127.0.0.1:{}", 9000 + id.bytes().map(u32::from).sum::<u32>());
+        std::fs::write(&path, endpoints_file(words, at)).expect("written");
+        path
+    };
+    let (old, new, gone) = (file("cart=a,b,d"), file("cart=a,b/draining,d"), file("cart=e"));
+    let torn = fresh(".toml");
+    std::fs::write(&torn, "version = 1\n[[clusters]]\nname = \"cart\"\n").expect("written");
+    let (check, diff) = (Path::new("check"), Path::new("diff"));
+    let nowhere = Path::new("/nowhere");
+    for (arguments, code, message) in [
+        (vec![check, &old, &new], 0, "cart: 2 ready, 1 draining"),
+        (vec![check, &old, &torn], 1, "no [end] as the last line"),
+        (vec![check, &torn, nowhere], 2, "/nowhere: No such file"),
+        (vec![diff, &old, &old], 0, ""),
+        (vec![diff, &old, &new], 1, "cluster cart: endpoint b-0: state ready -> draining\n"),
+        (
+            vec![diff, &old, &gone],
+            1,
+            "would be held back: diff: cluster cart: held: all 3 ready endpoints gone",
+        ),
+        (vec![diff, &old, &torn], 2, "no [end] as the last line"),
+    ] {
+        let (ended, said) = catalog(&arguments);
+        assert!(ended == Some(code) && said.contains(message), "{arguments:?}: {ended:?} {said}");
+    }
+}
+
+#[test]
+fn a_cluster_that_goes_ends_what_it_took_and_comes_back_as_another() {
+    play_clusters(
+        OPERATORS,
+        "disk list fleet.toml cart=d book=e
+         proxy expect log cluster changed
+         proxy expect log cluster changed
+         c send GET /kept
+         d expect GET /kept
+         d send 200 | kept
+         c expect 200 | kept
+         c send GET /open
+         d expect GET /open
+         c2 send GET /lost
+         d expect GET /lost on=new
+         disk list fleet.toml book=e
+         proxy expect log cluster removed
+         c3 send GET /new
+         c3 expect 503 retry-after=* | refused: cluster cart was removed\\n
+         disk list fleet.toml book=e cart=a
+         proxy expect log cluster changed
+         c3 send GET /new
+         a expect GET /new
+         a send 200 | another
+         c3 expect 200 | another
+         d close
+         c2 expect 503
+         c4 send POST /book X-Class=book | x
+         e expect POST /book | x
+         e send 200 | undisturbed
+         c4 expect 200 | undisturbed
+         c close
+         proxy expect log has ended its last request",
+    );
+}
+
+#[test]
+fn what_was_open_when_its_cluster_went_is_still_answered() {
+    play_clusters(
+        OPERATORS,
+        "disk list fleet.toml cart=d book=e
+         proxy expect log cluster changed
+         proxy expect log cluster changed
+         c send GET /open
+         d expect GET /open
+         disk list fleet.toml book=e
+         proxy expect log cluster removed
+         d send 200 | whole
+         c expect 200 | whole
+         d expect closed
+         proxy expect log has ended its last request",
+    );
+}
+
+#[test]
+fn an_endpoint_of_two_clusters_has_its_state_in_each_and_connections_of_each() {
+    play_clusters(
+        OPERATORS,
+        "disk list fleet.toml cart=d,e book=d,e
+         proxy expect log cluster changed
+         proxy expect log cluster changed
+         c send GET /1
+         e expect GET /1
+         e send 200 | 1
+         c expect 200 | 1
+         c2 send POST /2 X-Class=book | x
+         e expect POST /2 on=new
+         e send 200 | 2
+         c2 expect 200 | 2
+         disk list fleet.toml cart=d,e/draining book=d,e
+         proxy expect log cluster changed
+         c send GET /3
+         d expect GET /3
+         d send 200 | 3
+         c expect 200 | 3
+         c2 send POST /4 X-Class=book | x
+         e expect POST /4 on=same
+         e send 200 | 4
+         c2 expect 200 | 4",
+    );
+}
+
+#[test]
+fn the_limits_of_a_cluster_are_its_own_and_the_operators_word_counts_first() {
+    let limited =
+        OPERATORS.replace("[catalog]", "[[clusters]]\nname = \"cart\"\nmax_requests = 1\n[catalog]");
+    play_clusters(
+        &limited,
+        "disk list fleet.toml cart=d book=e
+         proxy expect log cluster changed
+         proxy expect log cluster changed
+         c send GET /1
+         d expect GET /1
+         c2 send GET /2
+         c2 expect 503 retry-after=*
+         c3 send POST /3 X-Class=book X-Request-Id=r3 | x
+         e expect POST /3 | x
+         d send 200 | 1
+         c expect 200 | 1
+         c4 send GET /4 X-Request-Id=r3
+         c4 expect 409
+         e send 200 | 3
+         c3 expect 200 | 3",
+    );
+}
+
+#[test]
+fn what_is_wrong_with_a_file_is_told_and_shown_until_it_is_good_again() {
+    let careful = OPERATORS.replace("hold = \"0s\"", "hold = \"10m\"");
+    play_clusters(
+        &careful,
+        "disk list fleet.toml cart=d,e book=e
+         proxy expect log cluster changed
+         proxy expect log cluster changed
+         disk raw fleet.toml version = 1\\n[[clusters]]\\nname = \"cart\"\\n
+         proxy expect log no [end] as the last line
+         proxy send USR1
+         proxy expect log open_requests: 0, there: true, cluster: cart
+         proxy expect log quiet for
+         proxy expect log cart: from fleet, 2 ready, 0 draining
+         disk list fleet.toml cart=a,b book=e
+         proxy expect log all 2 ready endpoints gone at once
+         proxy send USR1
+         proxy expect log cart: from fleet, 2 ready
+         proxy expect log all 2 ready endpoints gone at once, d-0 first; asked again in
+         c send GET /1
+         e expect GET /1
+         e send 200 | 1
+         c expect 200 | 1
+         disk list fleet.toml cart=d,e book=e
+         proxy expect log withdrawn
+         disk remove fleet.toml
+         proxy expect log cannot be read, the last good one stands
+         c send GET /2
+         e expect GET /2
+         e send 200 | 2
+         c expect 200 | 2",
+    );
+}
+
+#[test]
+fn without_an_operators_file_there_is_no_catalog_and_nothing_is_led_anywhere() {
+    // The signal that asks a catalog to tell of itself ends a program that has none.
+    play(
+        "c send GET /old/1 Host=eu.books.internal
+         a expect GET /old/1
+         a send 200 | registry
+         c expect 200 | registry
+         proxy send USR1
+         proxy wait signal 10",
+    );
+}
