xDS: resources to clusters and endpoints, and the conversation as a state machine

Teams describe fleets as Envoy clusters and endpoints. Resources become clusters and endpoints, with a table of what is honoured, refused by name of resource and field, and ignored. The conversation is the aggregated stream in both variants without I/O: versions, nonces, refusals, warming, resumption, time to live, back-off with full jitter, a pace of reading. Faults go to the catalog as doubt: endpoints that are withdrawn, a world without clusters.

The channel to the catalog now holds 4 events: each may be a list of 3 MB, of the 32 MB that a proxy has.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -36,6 +36,8 @@
 #[cfg(feature = "sources")]
 pub mod source;
 mod summary;
+#[cfg(feature = "xds")]
+pub mod xds;
 
 pub use catalog::{Catalog, ClusterView, FeedView, HeldView, RefusalView, Served, SourceView};
 pub use diff::{Difference, Edit, diff, held};
--- a/crates/membership/src/source.rs
+++ b/crates/membership/src/source.rs
@@ -15,8 +15,8 @@
 /// origin meanwhile.
 ///
 /// Weighed: one event may be a list of 10,000 endpoints, some 3 MB, so that a long queue would be the memory
-/// of many lists; and the newest news wait behind all of it.
-pub const SINK_BOUND: usize = 16;
+/// of many lists, of which a proxy has 32 MB in all; and the newest news wait behind all of it.
+pub const SINK_BOUND: usize = 4;
 
 /// Most questions that wait for a source. Whoever asks must not wait for room: a question that finds none is
 /// dropped, and the catalog asks again after its next hold.
--- /dev/null
+++ b/crates/membership/src/xds/conversation/config.rs
@@ -0,0 +1,80 @@
+//! What a conversation is set up with.
+
+use crate::names::SourceId;
+use crate::policy::Policy;
+use std::time::Duration;
+
+/// What a conversation is set up with.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Config {
+    /// The source whose news these are.
+    pub source: SourceId,
+    /// Who asks.
+    pub node: Node,
+    /// Which variant of the protocol is spoken.
+    pub variant: Variant,
+    /// The clusters of a new stream should have come after this; 15 s by default, as in Envoy.
+    pub first_fetch: Duration,
+    /// The endpoints of a cluster should have come this long after it; 15 s by default, as in Envoy. What is
+    /// late is said, and still waited for.
+    pub warming: Duration,
+    /// The upper limit of the first wait before another connection; 1 s by default, at least 10 ms. Waits are chosen between
+    /// 0 and a limit that doubles each time (full jitter: Brooker, "Exponential Backoff and Jitter", AWS
+    /// 2015): a fleet that loses its control plane at once must not come back at once.
+    pub backoff_base: Duration,
+    /// The largest such limit; 30 s by default.
+    pub backoff_most: Duration,
+    /// A stream that stands for this long is good, though nothing has come: a control plane that has nothing
+    /// new says nothing; 5 s by default.
+    pub settled_after: Duration,
+    /// Most clusters that are kept, as the catalog's policy has it: what is refused there must be refused
+    /// here, so that the control plane hears of it.
+    pub max_clusters: usize,
+    /// Most endpoints of a cluster, as the catalog's policy has it.
+    pub max_endpoints: usize,
+    /// Where the jitter begins: another for each proxy.
+    pub seed: u64,
+}
+
+/// The variants of the protocol.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Variant {
+    /// State of the world: each response holds all clusters, and all that has changed of endpoints.
+    StateOfTheWorld,
+    /// Incremental: each response holds what has changed.
+    #[default]
+    Incremental,
+}
+
+/// Who asks, as the control plane is told.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Node {
+    /// The id of this proxy.
+    pub id: String,
+    /// The fleet that it belongs to, by which control planes choose what it gets.
+    pub cluster: String,
+    /// Where it runs.
+    pub region: String,
+    /// Where it runs.
+    pub zone: String,
+}
+
+impl Config {
+    /// The defaults, for a source and a node.
+    pub fn new(source: SourceId, node: Node) -> Config {
+        let policy = Policy::default();
+        Config {
+            source,
+            node,
+            variant: Variant::default(),
+            first_fetch: Duration::from_secs(15),
+            warming: Duration::from_secs(15),
+            backoff_base: Duration::from_secs(1),
+            backoff_most: Duration::from_secs(30),
+            settled_after: Duration::from_secs(5),
+            max_clusters: policy.max_clusters,
+            max_endpoints: policy.max_endpoints,
+            seed: 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/src/xds/conversation/message.rs
@@ -0,0 +1,179 @@
+//! Responses of both variants as one thing.
+
+use crate::xds::resource::{
+    Assignment, BadResource, ClusterResource, Kind, Problem, assignment, cluster, duration,
+};
+use envoy_types::pb::envoy::config::cluster::v3::Cluster;
+use envoy_types::pb::envoy::config::endpoint::v3::ClusterLoadAssignment;
+use envoy_types::pb::envoy::service::discovery::v3::{
+    DeltaDiscoveryRequest, DeltaDiscoveryResponse, DiscoveryRequest, DiscoveryResponse, Resource,
+    ResourceError,
+};
+use envoy_types::pb::google::protobuf::Any;
+use prost::Message;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// What the control plane says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Response {
+    /// State of the world.
+    World(DiscoveryResponse),
+    /// Incremental.
+    Delta(DeltaDiscoveryResponse),
+}
+
+/// What the control plane is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Request {
+    /// State of the world.
+    World(DiscoveryRequest),
+    /// Incremental.
+    Delta(DeltaDiscoveryRequest),
+}
+
+const WRAPPER: &str = "type.googleapis.com/envoy.service.discovery.v3.Resource";
+
+/// A response, whatever its variant.
+pub(super) struct Batch {
+    pub type_url: String,
+    pub version: String,
+    pub nonce: String,
+    pub removed: Vec<String>,
+    pub errors: Vec<ResourceError>,
+    items: Vec<Item>,
+}
+
+struct Item {
+    /// In its wrapper; empty if there is none.
+    name: String,
+    version: String,
+    ttl: Option<Duration>,
+    body: Option<Any>,
+    /// The wrapper could not be read.
+    fault: Option<String>,
+}
+
+/// A resource that can be used.
+pub(super) struct Told {
+    pub name: String,
+    pub version: String,
+    pub ttl: Option<Duration>,
+    pub what: What,
+}
+
+pub(super) enum What {
+    /// It is as it was.
+    Heartbeat,
+    Cluster(ClusterResource),
+    Assignment(Assignment),
+}
+
+impl From<Response> for Batch {
+    fn from(response: Response) -> Batch {
+        match response {
+            Response::World(all) => {
+                let DiscoveryResponse { version_info, resources, type_url, nonce, resource_errors, .. } = all;
+                let items = resources.into_iter().map(|any| Item::unwrap(any, &version_info)).collect();
+                let removed = Vec::new();
+                Batch { type_url, version: version_info, nonce, removed, errors: resource_errors, items }
+            }
+            Response::Delta(delta) => {
+                let items = delta.resources.into_iter().map(Item::from).collect();
+                let names = delta.removed_resource_names.into_iter().map(|removed| removed.name);
+                Batch {
+                    type_url: delta.type_url,
+                    version: delta.system_version_info,
+                    nonce: delta.nonce,
+                    removed: delta.removed_resources.into_iter().chain(names).collect(),
+                    errors: delta.resource_errors,
+                    items,
+                }
+            }
+        }
+    }
+}
+
+impl From<Resource> for Item {
+    fn from(resource: Resource) -> Item {
+        let Resource { name, version, ttl, resource: body, .. } = resource;
+        let ttl = ttl.as_ref().and_then(duration).filter(|ttl| !ttl.is_zero());
+        Item { name, version, ttl, body, fault: None }
+    }
+}
+
+impl Item {
+    /// A resource in a response of the state of the world, bare or in a wrapper.
+    fn unwrap(any: Any, version: &str) -> Item {
+        let bare =
+            |body, fault| Item { name: String::new(), version: version.to_owned(), ttl: None, body, fault };
+        if any.type_url != WRAPPER {
+            return bare(Some(any), None);
+        }
+        match Resource::decode(&*any.value) {
+            Ok(resource) => Item { version: version.to_owned(), ..Item::from(resource) },
+            Err(fault) => bare(None, Some(fault.to_string())),
+        }
+    }
+
+    fn read(self, kind: Kind) -> Result<Told, BadResource> {
+        let Item { name, version, ttl, body, fault } = self;
+        let bad = |problem| BadResource::one(kind, &name, "", problem);
+        if let Some(fault) = fault {
+            return Err(bad(Problem::Unreadable(fault)));
+        }
+        let Some(body) = body else {
+            return match name.as_str() {
+                "" => Err(bad(Problem::Missing(": neither a name nor a resource is there"))),
+                _ => Ok(Told { name, version, ttl, what: What::Heartbeat }),
+            };
+        };
+        if body.type_url != kind.type_url() {
+            return Err(bad(Problem::Type { found: body.type_url, wanted: kind.type_url() }));
+        }
+        let unreadable = |fault: prost::DecodeError| bad(Problem::Unreadable(fault.to_string()));
+        let (inner, what) = match kind {
+            Kind::Cluster => {
+                let found = cluster(&Cluster::decode(&*body.value).map_err(unreadable)?)?;
+                (found.name.as_str().to_owned(), What::Cluster(found))
+            }
+            Kind::Assignment => {
+                let message = ClusterLoadAssignment::decode(&*body.value).map_err(unreadable)?;
+                let found = assignment(&message)?;
+                (found.name.clone(), What::Assignment(found))
+            }
+        };
+        if !name.is_empty() && name != inner {
+            return Err(bad(Problem::Name { inner, outer: name.clone() }));
+        }
+        Ok(Told { name: inner, version, ttl, what })
+    }
+}
+
+impl Batch {
+    /// The resources that can be used, and what is wrong with the others. Of those that come twice none can:
+    /// which one counts is a guess.
+    pub fn read(&mut self, kind: Kind) -> (Vec<Told>, Vec<BadResource>) {
+        let (mut good, mut bad) = (Vec::new(), Vec::new());
+        let (mut names, mut twice) = (BTreeSet::new(), BTreeSet::new());
+        for (at, item) in std::mem::take(&mut self.items).into_iter().enumerate() {
+            match item.read(kind) {
+                Ok(told) => {
+                    if !names.insert(told.name.clone()) {
+                        twice.insert(told.name.clone());
+                    }
+                    good.push(told);
+                }
+                Err(mut fault) => {
+                    if fault.name.is_empty() {
+                        fault.name = format!("number {} of the response", at + 1);
+                    }
+                    bad.push(fault);
+                }
+            }
+        }
+        good.retain(|told| !twice.contains(&told.name));
+        bad.extend(twice.iter().map(|name| BadResource::one(kind, name, "", Problem::Twice)));
+        (good, bad)
+    }
+}
--- /dev/null
+++ b/crates/membership/src/xds/conversation/note.rs
@@ -0,0 +1,176 @@
+//! What happened, for the log.
+
+use crate::names::ClusterName;
+use crate::xds::resource::{BadResource, Kind};
+use olivecart_decisions::Nanos;
+use std::fmt;
+
+/// What happened, for the log. All texts of the control plane are quoted.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Note {
+    /// A stream was opened.
+    Connected,
+    /// The stream ended, or none could be opened.
+    Lost {
+        /// What the shell says.
+        why: String,
+        /// When the next one is tried, in nanoseconds from now.
+        retry_in: Nanos,
+    },
+    /// No clusters have come on a first stream.
+    NoClusters {
+        /// For how long it was waited, in nanoseconds.
+        waited: Nanos,
+    },
+    /// The endpoints of a cluster have not come. It is waited on.
+    NoEndpoints {
+        /// The cluster.
+        cluster: ClusterName,
+        /// The name under which they are asked for.
+        service: String,
+        /// For how long it was waited, in nanoseconds.
+        waited: Nanos,
+    },
+    /// A cluster that had waited for its endpoints has them.
+    Warmed {
+        /// The cluster.
+        cluster: ClusterName,
+        /// For how long it had waited, in nanoseconds.
+        waited: Nanos,
+    },
+    /// Resources were refused, and the control plane is told.
+    Refused {
+        /// Of which kind.
+        kind: Kind,
+        /// The version of the response.
+        version: String,
+        /// Which, and why; at least one.
+        resources: Vec<BadResource>,
+        /// The rest of the response was taken in.
+        rest_holds: bool,
+    },
+    /// A response with a nonce that had come before on the stream was passed over.
+    StaleNonce {
+        /// Of which kind.
+        kind: Kind,
+        /// The nonce.
+        nonce: String,
+    },
+    /// A response of a kind that was not asked for was passed over.
+    UnknownType {
+        /// The type URL.
+        type_url: String,
+    },
+    /// The control plane says that it cannot give a resource.
+    NotGiven {
+        /// Of which kind.
+        kind: Kind,
+        /// Its name.
+        name: String,
+        /// Why, as the control plane says.
+        why: String,
+    },
+    /// A field is set that does nothing here. Said once for each field.
+    Ignored {
+        /// Of which kind.
+        kind: Kind,
+        /// The resource where it was seen first.
+        name: String,
+        /// The field.
+        field: &'static str,
+    },
+    /// A resource was not renewed within its time to live, though others came.
+    Expired {
+        /// Of which kind.
+        kind: Kind,
+        /// Its name.
+        name: String,
+    },
+    /// The time to live of resources is over, and the control plane says nothing at all: they stay.
+    Quiet {
+        /// The first of them.
+        name: String,
+    },
+    /// The control plane lists no clusters at all. They are kept; only an explicit word removes them.
+    NoneLeft {
+        /// How many are kept.
+        kept: usize,
+    },
+}
+
+impl Note {
+    /// Whether somebody should look.
+    pub fn is_warning(&self) -> bool {
+        !matches!(self, Note::Connected | Note::Warmed { .. } | Note::Ignored { .. })
+    }
+}
+
+fn ms(nanos: Nanos) -> Nanos {
+    nanos / 1_000_000
+}
+
+impl fmt::Display for Note {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Note::Connected => f.write_str("stream opened"),
+            Note::Lost { why, retry_in } => {
+                write!(f, "no stream: {why}; next attempt in {} ms", ms(*retry_in))
+            }
+            Note::NoClusters { waited } => {
+                write!(f, "no clusters came within {} ms; still waiting", ms(*waited))
+            }
+            Note::NoEndpoints { cluster, service, waited } => {
+                let waited = ms(*waited);
+                write!(f, "cluster {cluster}: no endpoints {service:?} came within {waited} ms; ")?;
+                f.write_str("still waiting, and what served before serves on")
+            }
+            Note::Warmed { cluster, waited } => {
+                write!(f, "cluster {cluster}: its endpoints came after {} ms", ms(*waited))
+            }
+            Note::Refused { kind, version, resources, rest_holds } => {
+                write!(f, "{kind} version {version:?} refused: {}", Reasons(resources))?;
+                f.write_str(if *rest_holds { ". The rest of it holds" } else { ". What was before holds" })
+            }
+            Note::StaleNonce { kind, nonce } => {
+                write!(f, "{kind} response passed over: nonce {nonce:?} has come before on this stream")
+            }
+            Note::UnknownType { type_url } => {
+                write!(f, "response passed over: {type_url:?} was not asked for")
+            }
+            Note::NotGiven { kind, name, why } => {
+                write!(f, "{kind} resource {name:?}: the control plane says: {why:?}")
+            }
+            Note::Ignored { kind, name, field } => {
+                write!(f, "{kind} resource {name:?}: {field} does nothing here; not said again")
+            }
+            Note::Expired { kind, name } => {
+                write!(f, "{kind} resource {name:?} was not renewed within its time to live")
+            }
+            Note::Quiet { name } => write!(
+                f,
+                "the time to live of {name:?} is over, and the control plane says nothing; it is kept"
+            ),
+            Note::NoneLeft { kept } => write!(f, "the control plane lists no clusters; {kept} are kept"),
+        }
+    }
+}
+
+/// Why resources are refused, at a length that a log and a control plane can take.
+pub(super) struct Reasons<'a>(pub &'a [BadResource]);
+
+impl Reasons<'_> {
+    /// Most resources that are named.
+    const MOST: usize = 16;
+}
+
+impl fmt::Display for Reasons<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        for (at, bad) in self.0.iter().take(Reasons::MOST).enumerate() {
+            write!(f, "{}{bad}", if at == 0 { "" } else { " | " })?;
+        }
+        match self.0.len().saturating_sub(Reasons::MOST) {
+            0 => Ok(()),
+            more => write!(f, " | and {more} more resources"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/src/xds/conversation/pace.rs
@@ -0,0 +1,59 @@
+//! How fast: the waits before another connection or another refusal, and the pace of reading.
+
+use olivecart_decisions::Nanos;
+use std::time::Duration;
+
+pub(super) fn nanos(time: Duration) -> Nanos {
+    Nanos::try_from(time.as_nanos()).unwrap_or(Nanos::MAX)
+}
+
+/// Waits with full jitter between 0 and a limit that doubles.
+#[derive(Debug)]
+pub(super) struct Backoff {
+    base: Nanos,
+    most: Nanos,
+    random: fastrand::Rng,
+}
+
+impl Backoff {
+    /// Danger: without a wait a control plane that refuses connections is asked in an endless loop.
+    const LEAST: Duration = Duration::from_millis(10);
+
+    pub fn new(base: Duration, most: Duration, seed: u64) -> Backoff {
+        let (base, most) = (base.max(Backoff::LEAST), most.max(Backoff::LEAST));
+        Backoff { base: nanos(base), most: nanos(most), random: fastrand::Rng::with_seed(seed) }
+    }
+
+    /// A wait after so many failures before this one.
+    pub fn wait(&mut self, failures: u32) -> Nanos {
+        let limit = self.base.saturating_mul(1 << failures.min(30)).min(self.most);
+        self.random.u64(0..=limit)
+    }
+}
+
+/// The pace of reading: a burst at once, then so many a second.
+///
+/// Danger: without it a control plane that floods takes all the time of the thread that decodes and compares
+/// whole lists. What is not read waits at the control plane, held back by the flow control of the stream.
+#[derive(Debug, Default)]
+pub(super) struct Pace {
+    /// When the responses read so far would have come at the even pace (the theoretical arrival time of
+    /// GCRA, ATM Forum traffic management 4.0).
+    even: Nanos,
+}
+
+impl Pace {
+    /// Responses read at once.
+    const BURST: Nanos = 64;
+    /// Time for each further one: 20 a second, twice of what ten changes a second need.
+    const EACH: Nanos = 50_000_000;
+
+    pub fn note(&mut self, now: Nanos) {
+        self.even = self.even.max(now).saturating_add(Pace::EACH);
+    }
+
+    /// When the next response may be read.
+    pub fn next(&self) -> Nanos {
+        self.even.saturating_sub(Pace::BURST * Pace::EACH)
+    }
+}
--- /dev/null
+++ b/crates/membership/src/xds/mod.rs
@@ -0,0 +1,9 @@
+//! Clusters and endpoints from a control plane over xDS, and from files in the form of its resources.
+//!
+//! [`resource`] turns resources into clusters and endpoints. [`Conversation`] is the talk with the control
+//! plane, both variants of the aggregated stream, as a state machine without I/O.
+
+pub mod conversation;
+pub mod resource;
+
+pub use conversation::Conversation;
--- /dev/null
+++ b/crates/membership/tests/xds/talk.rs
@@ -0,0 +1,260 @@
+//! A conversation with its catalog in virtual time, and what it says in short lines.
+
+use envoy_types::pb::envoy::config::cluster::v3::Cluster;
+use envoy_types::pb::envoy::config::endpoint::v3::ClusterLoadAssignment;
+use envoy_types::pb::envoy::service::discovery::v3::{DeltaDiscoveryResponse, DiscoveryResponse, Resource};
+use envoy_types::pb::google::protobuf::{Any, Duration as ProtoDuration};
+use envoy_types::util::pack_any;
+use olivecart_lab::control_plane::{eds_cluster, endpoints};
+use olivecart_membership::xds::conversation::{
+    Config, Conversation, Input, Node, Note, Output, Request, Response, Variant,
+};
+use olivecart_membership::xds::resource::Kind;
+use olivecart_membership::{Catalog, Event, Nanos, News, Policy};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+pub const MS: Nanos = 1_000_000;
+pub use Variant::{Incremental, StateOfTheWorld};
+
+pub struct Talk {
+    pub talk: Conversation,
+    pub catalog: Catalog,
+    pub now: Nanos,
+    pub requests: Vec<Request>,
+    nonce: u64,
+}
+
+/// The address of an endpoint: its id's last byte.
+pub fn at(id: &str) -> SocketAddr {
+    ([10, 0, 0, id.bytes().last().unwrap_or(0)], 80).into()
+}
+
+pub fn list(name: &str, ids: &[&str]) -> ClusterLoadAssignment {
+    endpoints(name, &ids.iter().map(|id| (*id, at(id))).collect::<Vec<_>>())
+}
+
+pub fn cluster(name: &str) -> Any {
+    pack_any(eds_cluster(name))
+}
+
+pub fn own(name: &str, ids: &[&str]) -> Any {
+    let load_assignment = Some(list(name, ids));
+    pack_any(Cluster { name: name.into(), load_assignment, ..Cluster::default() })
+}
+
+pub fn eds(name: &str, ids: &[&str]) -> Any {
+    pack_any(list(name, ids))
+}
+
+/// A cluster of a type that is refused.
+pub fn bad(name: &str) -> Any {
+    let load_assignment = None;
+    pack_any(Cluster { name: name.into(), load_assignment, ..Cluster::default() })
+}
+
+pub fn resource(name: &str, version: &str, resource: impl Into<Option<Any>>) -> Resource {
+    let (name, version, resource) = (name.into(), version.into(), resource.into());
+    Resource { name, version, resource, ..Resource::default() }
+}
+
+pub fn lasting(ms: Nanos, resource: Resource) -> Resource {
+    let ttl = ProtoDuration { seconds: (ms / 1000) as i64, nanos: (ms % 1000 * MS) as i32 };
+    Resource { ttl: Some(ttl), ..resource }
+}
+
+pub fn config(variant: Variant) -> Config {
+    let node = Node { id: "proxy-1".into(), cluster: "fleet".into(), ..Node::default() };
+    Config { variant, ..Config::new("xds".into(), node) }
+}
+
+impl Talk {
+    pub fn new(config: Config) -> Talk {
+        let catalog = Catalog::new(Policy::default(), ["xds".into()]).expect("the default policy");
+        let talk = Conversation::new(config);
+        Talk { talk, catalog, now: 0, requests: Vec::new(), nonce: 0 }
+    }
+
+    /// A conversation whose first stream is open.
+    pub fn open(variant: Variant) -> Talk {
+        let mut talk = Talk::new(config(variant));
+        assert_eq!(talk.tell(Input::Tick), ["connect"]);
+        talk.tell(Input::Connected);
+        talk
+    }
+
+    /// A conversation that serves cluster `cart` of these endpoints.
+    pub fn serving(variant: Variant, ids: &[&str]) -> Talk {
+        let mut talk = Talk::open(variant);
+        talk.says(Kind::Cluster, "1", vec![resource("cart", "1", cluster("cart"))], &[]);
+        talk.says(Kind::Assignment, "1", vec![resource("cart", "1", eds("cart", ids))], &[]);
+        assert_eq!(talk.serves(), format!("cart: {}", ids.join(" ")));
+        talk
+    }
+
+    pub fn tell(&mut self, input: Input) -> Vec<String> {
+        let mut out = Vec::new();
+        self.talk.handle(self.now, input, &mut out);
+        for output in &out {
+            match output {
+                Output::Tell(event) => self.catalog.handle(self.now, event.clone(), &mut Vec::new()),
+                Output::Send(request) => self.requests.push(Request::clone(request)),
+                Output::Connect | Output::Log(_) => {}
+            }
+        }
+        out.iter().map(line).collect()
+    }
+
+    /// The control plane speaks, with a nonce of its own: in state of the world the resources bare, but for
+    /// those that have a time to live.
+    pub fn says(
+        &mut self,
+        kind: Kind,
+        version: &str,
+        resources: Vec<Resource>,
+        removed: &[&str],
+    ) -> Vec<String> {
+        self.nonce += 1;
+        let nonce = format!("n{}", self.nonce);
+        self.says_with(&nonce, kind, version, resources, removed)
+    }
+
+    pub fn says_with(
+        &mut self,
+        nonce: &str,
+        kind: Kind,
+        version: &str,
+        resources: Vec<Resource>,
+        removed: &[&str],
+    ) -> Vec<String> {
+        let (type_url, nonce) = (kind.type_url().to_owned(), nonce.to_owned());
+        let bare = |resource: Resource| match resource {
+            Resource { ttl: None, resource: Some(any), .. } => any,
+            wrapped => pack_any(wrapped),
+        };
+        self.tell(Input::Response(match self.talk.variant() {
+            StateOfTheWorld => Response::World(DiscoveryResponse {
+                version_info: version.to_owned(),
+                resources: resources.into_iter().map(bare).collect(),
+                type_url,
+                nonce,
+                ..DiscoveryResponse::default()
+            }),
+            Incremental => Response::Delta(DeltaDiscoveryResponse {
+                system_version_info: version.to_owned(),
+                resources,
+                removed_resources: removed.iter().map(|name| (*name).to_owned()).collect(),
+                type_url,
+                nonce,
+                ..DeltaDiscoveryResponse::default()
+            }),
+        }))
+    }
+
+    /// Lets time pass, with all wake-ups on the way.
+    pub fn wait(&mut self, ms: Nanos) -> Vec<String> {
+        let (end, mut lines) = (self.now + ms * MS, Vec::new());
+        while let Some(at) = self.talk.deadline().filter(|at| *at <= end) {
+            self.now = self.now.max(at);
+            lines.extend(self.tell(Input::Tick));
+        }
+        self.now = end;
+        self.catalog.handle(end, Event::Tick, &mut Vec::new());
+        lines
+    }
+
+    /// The stream breaks, and the next one opens.
+    pub fn reconnect(&mut self) -> Vec<String> {
+        self.tell(Input::Lost { why: "reset".into() });
+        let lines = self.wait(30_000);
+        assert!(lines.iter().any(|line| line == "connect"), "{lines:?}");
+        self.tell(Input::Connected)
+    }
+
+    /// The clusters that serve, with their endpoints.
+    pub fn serves(&self) -> String {
+        let cluster = |served: olivecart_membership::Served| {
+            let ids: Vec<String> = served.endpoints().map(|e| e.name.to_string()).collect();
+            format!("{}: {}", served.name, ids.join(" "))
+        };
+        self.catalog.clusters().map(cluster).collect::<Vec<_>>().join(", ")
+    }
+
+    /// Whether the catalog holds something back that only an explicit word lets through.
+    pub fn needs_word(&self) -> bool {
+        let views = self.catalog.view();
+        views
+            .iter()
+            .any(|view| view.feeds.iter().any(|feed| feed.held.as_ref().is_some_and(|h| h.needs_word)))
+    }
+}
+
+pub fn line(output: &Output) -> String {
+    match output {
+        Output::Connect => "connect".into(),
+        Output::Send(request) => format!("send {}", request_line(request)),
+        Output::Tell(event) => format!("tell {}", event_line(event)),
+        Output::Log(Note::Refused { .. }) => "log refused".into(),
+        Output::Log(note) => format!("log {note}"),
+    }
+}
+
+fn kind_of(type_url: &str) -> String {
+    Kind::of(type_url).map_or_else(|| type_url.to_owned(), |kind| kind.to_string())
+}
+
+/// `CDS v=1 n=n1 [names]`, `EDS n=n1 +[on] -[off] {cart=1}`, and `!reason` of a refusal, and `node`.
+pub fn request_line(request: &Request) -> String {
+    let (mut line, node, error) = match request {
+        Request::World(r) => {
+            let (kind, names) = (kind_of(&r.type_url), r.resource_names.join(" "));
+            (
+                format!("{kind} v={} n={} [{names}]", r.version_info, r.response_nonce),
+                &r.node,
+                &r.error_detail,
+            )
+        }
+        Request::Delta(r) => {
+            let (on, off) = (r.resource_names_subscribe.join(" "), r.resource_names_unsubscribe.join(" "));
+            let initial: BTreeMap<_, _> = r.initial_resource_versions.iter().collect();
+            let initial: Vec<String> = initial.into_iter().map(|(n, v)| format!("{n}={v}")).collect();
+            let (kind, initial) = (kind_of(&r.type_url), initial.join(" "));
+            let line = format!("{kind} n={} +[{on}] -[{off}] {{{initial}}}", r.response_nonce);
+            (line, &r.node, &r.error_detail)
+        }
+    };
+    if let Some(node) = node {
+        line = format!("{line} node={}", node.id);
+    }
+    if let Some(error) = error {
+        line = format!("{line} !{}", error.message);
+    }
+    line
+}
+
+fn event_line(event: &Event) -> String {
+    match event {
+        Event::News { version, news, .. } => {
+            let what = match news {
+                News::All(all) => format!("all {}", all.len()),
+                News::Clusters(lists) => {
+                    let list =
+                        |c: &olivecart_membership::Cluster| format!("{}({})", c.name, c.listed().len());
+                    lists.iter().map(list).collect::<Vec<_>>().join(" ")
+                }
+                News::Changes(updates) => {
+                    let names: Vec<String> = updates.iter().map(|u| u.cluster.to_string()).collect();
+                    format!("settings {}", names.join(" "))
+                }
+                News::Removed(names) => {
+                    let names: Vec<&str> = names.iter().map(|name| name.as_str()).collect();
+                    format!("removed {}", names.join(" "))
+                }
+            };
+            format!("{version} {what}")
+        }
+        Event::Silent { silence, .. } => format!("{silence}"),
+        Event::Back { .. } => "back".into(),
+        other => format!("{other:?}"),
+    }
+}
