--- a/crates/membership/tests/xds/main.rs
+++ b/crates/membership/tests/xds/main.rs
@@ -1,7 +1,8 @@
-//! xDS: resources, conversations line by line, and random faults.
+//! xDS: resources, conversations line by line, files, random faults.
 
 mod conversation;
 mod faults;
+mod file;
 mod random;
 mod resource;
 mod talk;
