--- /dev/null
+++ b/crates/membership/benches/xds.rs
@@ -0,0 +1,118 @@
+//! What a push costs at 10,000 endpoints, from the bytes of a response through the conversation and the
+//! catalog: the first one, one in which nothing has changed, one with one changed endpoint. The last shows
+//! how the time is spent: decoding, conversion, and the catalog's comparison.
+
+use criterion::{BatchSize, Criterion};
+use envoy_types::pb::envoy::config::endpoint::v3::ClusterLoadAssignment;
+use envoy_types::pb::envoy::service::discovery::v3::{DeltaDiscoveryResponse, Resource};
+use envoy_types::pb::google::protobuf::UInt32Value;
+use envoy_types::util::pack_any;
+use olivecart_lab::control_plane::{eds_cluster, endpoints};
+use olivecart_membership::xds::conversation::{Config, Conversation, Input, Node, Output, Response};
+use olivecart_membership::xds::resource::{Kind, assignment};
+use olivecart_membership::{Catalog, Nanos, Policy};
+use prost::Message;
+use std::hint::black_box;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const COUNT: usize = 10_000;
+
+struct Bench {
+    talk: Conversation,
+    catalog: Catalog,
+    now: Nanos,
+    out: Vec<Output>,
+}
+
+impl Bench {
+    fn new() -> Bench {
+        let talk = Conversation::new(Config::new("xds".into(), Node::default()));
+        let catalog = Catalog::new(Policy::default(), ["xds".into()]).expect("the default policy");
+        let mut bench = Bench { talk, catalog, now: 0, out: Vec::new() };
+        bench.tell(Input::Tick);
+        bench.tell(Input::Connected);
+        let cluster = vec![resource(pack_any(eds_cluster("cart")))];
+        bench.hear(&response(Kind::Cluster, cluster));
+        bench
+    }
+
+    fn with(bytes: &[u8]) -> Bench {
+        let mut bench = Bench::new();
+        bench.hear(bytes);
+        bench
+    }
+
+    fn tell(&mut self, input: Input) -> usize {
+        self.now += 100_000_000;
+        self.talk.handle(self.now, input, &mut self.out);
+        let mut changes = Vec::new();
+        for output in self.out.drain(..) {
+            if let Output::Tell(event) = output {
+                self.catalog.handle(self.now, event, &mut changes);
+            }
+        }
+        changes.len()
+    }
+
+    fn hear(&mut self, bytes: &[u8]) -> usize {
+        let response = DeltaDiscoveryResponse::decode(bytes).expect("a response");
+        self.tell(Input::Response(Response::Delta(response)))
+    }
+}
+
+fn resource(any: envoy_types::pb::google::protobuf::Any) -> Resource {
+    Resource { name: "cart".into(), version: "1".into(), resource: Some(any), ..Resource::default() }
+}
+
+fn response(kind: Kind, resources: Vec<Resource>) -> Vec<u8> {
+    let type_url = kind.type_url().to_owned();
+    DeltaDiscoveryResponse { resources, type_url, ..DeltaDiscoveryResponse::default() }.encode_to_vec()
+}
+
+fn list() -> ClusterLoadAssignment {
+    // Names as registries make them: their order is not that of the list.
+    let name = |i: usize| format!("s-{:08x}", (i as u32).wrapping_mul(0x9e37_79b1));
+    let names: Vec<(String, SocketAddr)> =
+        (0..COUNT).map(|i| (name(i), ([10, 0, (i >> 8) as u8, i as u8], 8080).into())).collect();
+    let list: Vec<(&str, SocketAddr)> = names.iter().map(|(name, at)| (&**name, *at)).collect();
+    endpoints("cart", &list)
+}
+
+fn push(list: &ClusterLoadAssignment) -> Vec<u8> {
+    response(Kind::Assignment, vec![resource(pack_any(list.clone()))])
+}
+
+fn main() {
+    let first = list();
+    let mut changed = first.clone();
+    changed.endpoints[0].lb_endpoints[4711].load_balancing_weight = Some(UInt32Value { value: 2 });
+    let (all, one) = (push(&first), push(&changed));
+    println!("a push of {COUNT} endpoints is {} bytes", all.len());
+    let mut criterion = Criterion::default().configure_from_args();
+    let mut group = criterion.benchmark_group("xds, 10,000 endpoints");
+    group.sample_size(20).warm_up_time(Duration::from_millis(500)).measurement_time(Duration::from_secs(3));
+    group.bench_function("first push", |b| {
+        b.iter_batched(Bench::new, |mut bench| (bench.hear(&all), bench), BatchSize::PerIteration);
+    });
+    group.bench_function("same push", |b| {
+        let mut bench = Bench::with(&all);
+        b.iter(|| black_box(bench.hear(&all)));
+    });
+    group.bench_function("one endpoint changed", |b| {
+        let (mut bench, mut turn) = (Bench::with(&all), false);
+        b.iter(|| {
+            turn = !turn;
+            black_box(bench.hear(if turn { &one } else { &all }))
+        });
+    });
+    let bytes = first.encode_to_vec();
+    group.bench_function("of that: decoding", |b| {
+        b.iter(|| black_box(ClusterLoadAssignment::decode(&*bytes).map(|list| list.endpoints.len())));
+    });
+    group.bench_function("of that: conversion", |b| {
+        b.iter(|| black_box(assignment(&first).map(|list| list.endpoints.len())));
+    });
+    group.finish();
+    criterion.final_summary();
+}
