--- a/crates/lab/build.rs
+++ b/crates/lab/build.rs
@@ -3,7 +3,8 @@
 use std::process::Command;
 
 fn git(arguments: &[&str]) -> Option<String> {
-    let output = Command::new("git").args(arguments).output().ok().filter(|output| output.status.success())?;
+    let output =
+        Command::new("git").args(arguments).output().ok().filter(|output| output.status.success())?;
     Some(String::from_utf8(output.stdout).ok()?.trim().to_owned())
 }
 
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -38,6 +38,8 @@
 mod summary;
 #[cfg(feature = "sources")]
 pub mod watch;
+#[cfg(feature = "xds")]
+pub mod xds;
 
 pub use catalog::{Catalog, ClusterView, FeedView, HeldView, RefusalView, Served, SourceView};
 pub use diff::{Difference, Edit, diff, held};
