--- a/crates/membership/tests/xds/conversation.rs
+++ b/crates/membership/tests/xds/conversation.rs
@@ -24,6 +24,9 @@
         ["tell 3 removed cart", "tell 9 tea(1)", "send CDS n=n3 +[] -[] {}", "send EDS n= +[] -[cart] {}"]
     );
     assert_eq!(talk.serves(), "tea: t");
+    // What is not asked for any more is not held either.
+    talk.says(Cluster, "4", vec![resource("oat", "10", cluster("oat"))], &[]);
+    assert_eq!(talk.reconnect()[2], "send EDS n= +[oat] -[] {}");
 }
 
 #[test]
@@ -177,6 +180,12 @@
         assert_eq!(talk.serves(), "");
         talk.says(Cluster, "2", vec![resource("cart", "2", cluster("cart"))], &[]);
         assert_eq!(talk.serves(), "cart: a");
+        // They are the stream's: another one tells them anew.
+        talk.says(Assignment, "3", vec![resource("tea", "3", eds("tea", &["t"]))], &[]);
+        talk.reconnect();
+        let both = vec![resource("cart", "4", cluster("cart")), resource("tea", "4", cluster("tea"))];
+        talk.says(Cluster, "4", both, &[]);
+        assert_eq!(talk.serves(), "cart: a");
     }
 }
 
--- a/crates/membership/tests/xds/faults.rs
+++ b/crates/membership/tests/xds/faults.rs
@@ -88,8 +88,13 @@
         let lines = talk.wait(60_000);
         assert_eq!(lines.iter().filter(|line| *line == "tell quiet").count(), 1, "{lines:?}");
         assert!(talk.catalog.cluster(&"cart".into()).is_some_and(|cart| cart.aged));
-        // Nor does it run without a stream.
-        talk.reconnect();
+        // Nor does it run without a stream, also if something came a moment before its end.
+        talk.says(Cluster, "1", vec![lasting(2_000, resource("cart", "1", None))], &[]);
+        talk.wait(1_500);
+        talk.says(Assignment, "1", vec![], &[]);
+        talk.tell(Input::Lost { why: "reset".into() });
+        assert!(!talk.wait(30_000).iter().any(|line| line.contains("not renewed")));
+        talk.tell(Input::Connected);
         assert_eq!(talk.serves(), "cart: a");
         talk.says(Cluster, "9", vec![lasting(2_000, resource("cart", "9", own("cart", &["a"])))], &[]);
         assert!(talk.catalog.cluster(&"cart".into()).is_some_and(|cart| !cart.aged));
--- a/crates/membership/tests/xds/shell.rs
+++ b/crates/membership/tests/xds/shell.rs
@@ -201,9 +201,12 @@
             tokio::task::yield_now().await;
         }
         assert!(sent() < 100, "{} of 1000 were sent before anybody listened", sent());
-        // Whoever listens again hears on.
-        while sent() < 60 {
-            proxy.heard.recv().await.expect("the source goes on");
+        // Whoever listens again hears on: a burst, and then 20 a second.
+        let (mut heard, begin) = (0, Instant::now());
+        while heard < 90 {
+            let Heard { event, .. } = proxy.heard.recv().await.expect("the source goes on");
+            heard += u32::from(matches!(event, Event::News { .. }));
         }
+        assert!(begin.elapsed() > Duration::from_millis(50) * (90 - 64 - SINK_BOUND as u32 - 2));
     });
 }
