Put files whole in the test of polling

Cause: the test wrote a file in place while it was looked at every 5 ms, and failed where a look fell between the two halves of the write.

Change: it puts the file there whole, as the other tests do.

--- a/crates/membership/tests/watch.rs
+++ b/crates/membership/tests/watch.rs
@@ -133,8 +133,9 @@
     let mut watched = Watched::at(directory, path, Kind::File, Duration::from_millis(5));
     assert_eq!(watched.next().await, "cart=a");
     for id in ["b", "c", "d"] {
-        // Of the same length, and soon after: only reading tells them apart.
-        fs::write(&target, text(&format!("cart={id}"))).expect("written");
+        // Of the same length, and soon after: only reading tells them apart. Put there whole: a look between the
+        // two halves of a write would find it torn, and say so.
+        put(&target, &text(&format!("cart={id}")));
         assert_eq!(watched.next().await, format!("cart={id}"));
     }
 }
