--- a/crates/decisions/src/logic.rs
+++ b/crates/decisions/src/logic.rs
@@ -448,8 +448,8 @@
     }
 
     /// How long an attempt may take before it counts as overdue. Danger: where answers take microseconds, any
-    /// hiccup of a machine is many deviations; a connection alone may take longer. And a request whose work is
-    /// heavy would be called off each time: each attempt has twice the time (Karn and Partridge 1987).
+    /// hiccup of a machine is many deviations; a connection alone may take longer. And a request whose work
+    /// is heavy would be called off each time: each attempt has twice the time (Karn and Partridge 1987).
     fn overdue(&self, request: &Open, attempt: usize) -> Nanos {
         let usual = request.work * (1.0 + OVERDUE_DEVIATIONS * self.norms[request.class].deviation);
         let doubled = if self.answers_are_quick() { attempt.min(4) } else { 0 };
@@ -662,8 +662,8 @@
         if due > self.now {
             return self.set_timer(due - self.now, Timer::Request(id), out); // more is known of its class now
         }
-        // Danger: an endpoint that accepts work and answers nothing. One that answered since is only slow, and
-        // where all are slow there is a queue, which calling off makes longer.
+        // Danger: an endpoint that accepts work and answers nothing. One that answered since is only slow,
+        // and where all are slow there is a queue, which calling off makes longer.
         let hangs = self.endpoints[slot].answered <= sent && self.answers_are_quick();
         if hangs && self.endpoints[slot].held.is_none() {
             self.suspect(slot, out);
