Move reading TOML with places out of the lab, for the configuration tool to use it too

Need: the configuration tool needs what scenario files are read with: values with their places, checks against a generated schema, lengths of time, the nearest known name.

Change: it is the module document of the new package olivecart-config, which the lab now depends on; a complaint says what kind of fault it is, tables by names are understood, and there are sizes in bytes.

--- a/crates/lab/src/scenario/key.rs
+++ b/crates/config/src/document/key.rs
@@ -1,10 +1,10 @@
-//! Where a value stands in a scenario: `tier[0].kind[1].speed`.
+//! Where a value stands in a file: `tiers[0].settings.attempts`.
 
 use std::fmt;
 
-/// The way from the top of a scenario to a value.
+/// The way from the top of a file to a value.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct Key(Vec<Step>);
+pub struct Key(Vec<Step>);
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Step {
@@ -23,6 +23,19 @@
         self.with(Step::At(index))
     }
 
+    /// The last name of it, if it ends in one.
+    pub fn last(&self) -> Option<&str> {
+        match self.0.last()? {
+            Step::Name(name) => Some(name),
+            Step::At(_) => None,
+        }
+    }
+
+    /// Whether it is the top itself.
+    pub fn is_top(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// What contains it; none at the top.
     pub fn parent(&self) -> Option<Key> {
         let (_, rest) = self.0.split_last()?;
@@ -37,7 +50,7 @@
 }
 
 /// The key of a name at the top.
-pub(super) fn top(name: &str) -> Key {
+pub fn top(name: &str) -> Key {
     Key::default().name(name)
 }
 
--- a/crates/lab/src/scenario/shape.rs
+++ b/crates/config/src/document/shape.rs
@@ -1,16 +1,17 @@
 //! Checks of keys, types and ranges against the schema that is generated from the types: all that is wrong at
 //! once, where a deserializer stops at the first.
 //!
-//! Only what schemars makes of `types.rs` is understood, and a test holds it to that.
+//! Only what schemars makes of plain types is understood; [`understands`] tells whether a schema is of these.
 
-use super::Span;
 use super::key::Key;
-use super::problem::Complaints;
-use crate::nearest::{instead, nearest};
+use super::nearest::{instead, nearest};
+use super::place::{Complaints, Fault};
+use super::size::Size;
+use super::span::Span;
 use serde_json::{Map, Value};
 
-/// Checks a scenario's values against a schema. Unknown keys are taken out, so that the rest can be read.
-pub(super) fn check(schema: &Value, value: &mut Value, complaints: &mut Complaints) {
+/// Checks a file's values against a schema. Unknown keys are taken out, so that the rest can be read.
+pub fn check(schema: &Value, value: &mut Value, complaints: &mut Complaints) {
     let mut walk = Walk { schema, complaints };
     walk.value(schema, "", &Key::default(), value);
 }
@@ -32,6 +33,8 @@
             return match (name, value.as_str()) {
                 ("Span", Some(text)) => self.span(about, key, text),
                 ("Span", None) => self.wrong(about, key, "a length of time such as \"250ms\"", value),
+                ("Size", Some(text)) => self.size(about, key, text),
+                ("Size", None) => self.wrong(about, key, "a size such as \"64KiB\"", value),
                 _ => self.value(&self.schema["$defs"][name], about, key, value),
             };
         }
@@ -43,7 +46,7 @@
         }
         let kind = schema["type"].as_str().or_else(|| list(schema, "type").find_map(Value::as_str));
         match (kind, value) {
-            (Some("object"), Value::Object(table)) => self.table(schema, key, table),
+            (Some("object"), Value::Object(table)) => self.table(schema, about, key, table),
             (Some("object"), other) => self.wrong(about, key, "a table", other),
             (Some("array"), Value::Array(items)) => self.array(schema, about, key, items),
             (Some("array"), other) => self.wrong(about, key, "a list", other),
@@ -60,7 +63,13 @@
 
     fn span(&mut self, about: &str, key: &Key, text: &str) {
         if let Err(error) = text.parse::<Span>() {
-            self.complaints.add(key.clone(), error.to_string(), about);
+            self.complaints.put(key.clone(), Fault::Type, error.to_string(), about);
+        }
+    }
+
+    fn size(&mut self, about: &str, key: &Key, text: &str) {
+        if let Err(error) = text.parse::<Size>() {
+            self.complaints.put(key.clone(), Fault::Type, error.to_string(), about);
         }
     }
 
@@ -72,7 +81,7 @@
             Value::String(text) => format!("the string {text:?}"),
             other => other.to_string(),
         };
-        self.complaints.add(key.clone(), format!("expected {expected}, found {found}"), about);
+        self.complaints.put(key.clone(), Fault::Type, format!("expected {expected}, found {found}"), about);
     }
 
     fn range(&mut self, schema: &Value, about: &str, key: &Key, value: &Value) {
@@ -88,25 +97,32 @@
             (.., Some(limit)) => format!("{value} is above {limit}"),
             _ => return,
         };
-        self.complaints.add(key.clone(), what, about);
+        self.complaints.put(key.clone(), Fault::Range, what, about);
     }
 
     fn array(&mut self, schema: &'a Value, about: &str, key: &Key, items: &mut [Value]) {
         let limit = |name: &str| schema[name].as_u64().and_then(|n| usize::try_from(n).ok());
         let (least, most) = (limit("minItems").unwrap_or(0), limit("maxItems").unwrap_or(usize::MAX));
         if items.is_empty() && least > 0 {
-            self.complaints.add(key.clone(), "the list is empty", about);
+            self.complaints.put(key.clone(), Fault::Range, "the list is empty", about);
         } else if !(least..=most).contains(&items.len()) {
             let what = format!("expected {least} values, found {}", items.len());
-            self.complaints.add(key.clone(), what, about);
+            self.complaints.put(key.clone(), Fault::Range, what, about);
         }
         for (i, item) in items.iter_mut().enumerate() {
             self.value(&schema["items"], about, &key.at(i), item);
         }
     }
 
-    fn table(&mut self, schema: &'a Value, key: &Key, table: &mut Object) {
-        let Some(properties) = schema["properties"].as_object() else { return };
+    fn table(&mut self, schema: &'a Value, about: &str, key: &Key, table: &mut Object) {
+        let Some(properties) = schema["properties"].as_object() else {
+            // A table of things by their names.
+            let things = &schema["additionalProperties"];
+            if things.is_object() {
+                table.iter_mut().for_each(|(name, value)| self.value(things, about, &key.name(name), value));
+            }
+            return;
+        };
         let known: Vec<&str> = properties.keys().map(String::as_str).collect();
         let mut meant = Vec::new();
         table.retain(|name, _| {
@@ -114,7 +130,7 @@
             if !is_known {
                 meant.extend(nearest(name, known.iter().copied()));
                 let right = instead(name, known.iter().copied());
-                self.complaints.add_name(key.name(name), format!("unknown key `{name}`"), right);
+                self.complaints.put(key.name(name), Fault::Unknown, format!("unknown key `{name}`"), right);
             }
             is_known
         });
@@ -122,7 +138,7 @@
             // A key that is only misspelt is not reported a second time as missing.
             if !table.contains_key(name) && !meant.contains(&name) {
                 let about = described(&schema["properties"][name]);
-                self.complaints.add(key.name(name), format!("`{name}` is missing"), about);
+                self.complaints.put(key.name(name), Fault::Missing, format!("`{name}` is missing"), about);
             }
         }
         for (name, value) in table {
@@ -150,18 +166,23 @@
                 Some(other) => return self.wrong(about, &key.name(tag), &known.join(", "), other),
                 None => {
                     let right = format!("one of {}", known.join(", "));
-                    return self.complaints.add(key.name(tag), format!("`{tag}` is missing"), right);
+                    return self.complaints.put(
+                        key.name(tag),
+                        Fault::Missing,
+                        format!("`{tag}` is missing"),
+                        right,
+                    );
                 }
             },
             (Some(_), other) => return self.wrong(about, key, "a table", other),
         };
         let Some(chosen) = known.iter().position(|name| name == text) else {
             let what = format!("unknown {} `{text}`", tag.unwrap_or("value"));
-            return self.complaints.add(key, what, instead(text, known));
+            return self.complaints.put(key, Fault::Choice, what, instead(text, known));
         };
         if let (Some(_), Some(table)) = (tag, value.as_object_mut()) {
             let parent = key.parent().unwrap_or_default();
-            self.table(variants[chosen], &parent, table);
+            self.table(variants[chosen], about, &parent, table);
         }
     }
 }
@@ -180,33 +201,33 @@
     schema["description"].as_str().unwrap_or_default().replace('\n', " ")
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    const KNOWN: &str = "$defs $ref $schema additionalProperties anyOf const default description \
-        exclusiveMinimum format items maxItems maximum minItems minimum oneOf properties required title type";
-
-    fn check_keywords(path: &str, schema: &Value) {
-        for (word, value) in schema.as_object().into_iter().flatten() {
-            let path = format!("{path}/{word}");
-            assert!(KNOWN.split(' ').any(|known| known == word), "{path} is not understood");
-            match word.as_str() {
-                "$defs" | "properties" => {
-                    let spans = |name: &str| word == "$defs" && name == "Span";
-                    let inner = value.as_object().unwrap().iter().filter(|(name, _)| !spans(name));
-                    inner.for_each(|(name, schema)| check_keywords(&format!("{path}/{name}"), schema));
+const UNDERSTOOD: &str = "$defs $ref $schema additionalProperties anyOf const default description \
+    exclusiveMinimum format items maxItems maximum minItems minimum oneOf properties required title type";
+
+/// Whether a schema says nothing that [`check`] does not understand; if it does, where.
+pub fn understands(schema: &Value) -> Result<(), String> {
+    keywords("", schema)
+}
+
+fn keywords(path: &str, schema: &Value) -> Result<(), String> {
+    for (word, value) in schema.as_object().into_iter().flatten() {
+        let path = format!("{path}/{word}");
+        if !UNDERSTOOD.split(' ').any(|known| known == word) {
+            return Err(path);
+        }
+        match word.as_str() {
+            "$defs" | "properties" => {
+                let own = |name: &str| word == "$defs" && (name == "Span" || name == "Size");
+                for (name, schema) in value.as_object().into_iter().flatten().filter(|(name, _)| !own(name)) {
+                    keywords(&format!("{path}/{name}"), schema)?;
                 }
-                "anyOf" | "oneOf" => list(schema, word).for_each(|s| check_keywords(&path, s)),
-                "items" => check_keywords(&path, value),
-                "additionalProperties" => assert_eq!(value, false, "{path}"),
-                _ => (),
             }
+            "anyOf" | "oneOf" => list(schema, word).try_for_each(|s| keywords(&path, s))?,
+            "items" => keywords(&path, value)?,
+            "additionalProperties" if value.is_object() => keywords(&path, value)?,
+            "additionalProperties" if *value != false => return Err(path),
+            _ => (),
         }
     }
-
-    #[test]
-    fn the_schema_says_nothing_that_is_not_understood() {
-        check_keywords("", crate::scenario::schema::tree());
-    }
+    Ok(())
 }
--- /dev/null
+++ b/crates/config/src/document/size.rs
@@ -0,0 +1,126 @@
+//! A number of bytes as files write it: `"64KiB"`, `"1.5MiB"`, `"2GB"`.
+
+use schemars::{JsonSchema, Schema, SchemaGenerator, json_schema};
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error};
+use std::borrow::Cow;
+use std::fmt;
+use std::str::FromStr;
+
+/// A number of bytes; at most 2^50.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Size(u64);
+
+/// Why a text is not a number of bytes.
+#[derive(Debug, thiserror::Error, PartialEq, Eq)]
+pub enum BadSize {
+    /// It has another form.
+    #[error("{0:?} is not a size: a number and one of B, KiB, MiB, GiB, kB, MB, GB")]
+    Form(String),
+    /// It is more than any machine has.
+    #[error("{0:?} is more than 1024 TiB")]
+    Large(String),
+}
+
+const UNITS: [(&str, u64); 7] = [
+    ("B", 1),
+    ("KiB", 1 << 10),
+    ("MiB", 1 << 20),
+    ("GiB", 1 << 30),
+    ("kB", 1000),
+    ("MB", 1_000_000),
+    ("GB", 1_000_000_000),
+];
+
+const LARGEST: u64 = 1 << 50;
+
+impl Size {
+    /// From bytes.
+    pub const fn from_bytes(bytes: u64) -> Size {
+        Size(bytes)
+    }
+
+    /// In bytes.
+    pub const fn bytes(self) -> u64 {
+        self.0
+    }
+}
+
+impl FromStr for Size {
+    type Err = BadSize;
+
+    /// A part of a byte is rounded to the nearest one.
+    fn from_str(text: &str) -> Result<Size, BadSize> {
+        let bad = || BadSize::Form(text.to_owned());
+        let end = text.find(|c: char| !c.is_ascii_digit() && c != '.').ok_or_else(bad)?;
+        let (number, unit) = text.split_at(end);
+        let scale = UNITS.iter().find(|(name, _)| *name == unit.trim_start()).ok_or_else(bad)?.1;
+        let plain = number.bytes().next().is_some_and(|b| b.is_ascii_digit()) && !number.ends_with('.');
+        let number: f64 = number.parse().ok().filter(|_| plain).ok_or_else(bad)?;
+        let bytes = (number * scale as f64).round();
+        if bytes <= LARGEST as f64 { Ok(Size(bytes as u64)) } else { Err(BadSize::Large(text.to_owned())) }
+    }
+}
+
+impl fmt::Display for Size {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let (unit, scale) = match self.0 {
+            0 => ("B", 1),
+            n if n.is_multiple_of(1 << 30) => ("GiB", 1 << 30),
+            n if n.is_multiple_of(1 << 20) => ("MiB", 1 << 20),
+            n if n.is_multiple_of(1 << 10) => ("KiB", 1 << 10),
+            _ => ("B", 1),
+        };
+        write!(f, "{}{unit}", self.0 / scale)
+    }
+}
+
+impl<'de> Deserialize<'de> for Size {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Size, D::Error> {
+        Cow::<str>::deserialize(from)?.parse().map_err(D::Error::custom)
+    }
+}
+
+impl Serialize for Size {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        to.collect_str(self)
+    }
+}
+
+impl JsonSchema for Size {
+    fn schema_name() -> Cow<'static, str> {
+        "Size".into()
+    }
+
+    fn json_schema(_: &mut SchemaGenerator) -> Schema {
+        json_schema!({
+            "type": "string",
+            "description": "A number of bytes: a number and one of B, KiB, MiB, GiB, kB, MB, GB.",
+            "pattern": r"^[0-9]+(\.[0-9]+)?\s*(B|KiB|MiB|GiB|kB|MB|GB)$"
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn sizes_are_read_as_people_write_them() {
+        for (text, bytes) in [
+            ("0B", 0),
+            ("64KiB", 65_536),
+            ("1.5 MiB", 1_572_864),
+            ("2GB", 2_000_000_000),
+            ("1024GiB", 1 << 40),
+        ] {
+            assert_eq!(text.parse(), Ok(Size(bytes)), "{text}");
+        }
+        for text in ["", "64", "KiB", "-1B", ".5MiB", "5.MiB", "1e3B", "64kib", "1 2B"] {
+            assert_eq!(text.parse::<Size>(), Err(BadSize::Form(text.into())), "{text}");
+        }
+        assert_eq!("2000000GiB".parse::<Size>(), Err(BadSize::Large("2000000GiB".into())));
+        for bytes in [0, 1, 1000, 65_536, 192 << 20, 3 << 30] {
+            assert_eq!(Size(bytes).to_string().parse(), Ok(Size(bytes)));
+        }
+    }
+}
--- a/crates/lab/src/scenario/source.rs
+++ b/crates/config/src/document/source.rs
@@ -1,43 +1,69 @@
-//! A scenario's text as a tree of plain values, and the place of each key in the text.
+//! A TOML text as a tree of plain values, and the place of each key in the text.
 
 use super::key::Key;
-use super::problem::{Complaint, Complaints, Finding, Place, Problems};
+use super::place::{Complaints, Fault, Place};
 use serde_json::{Number, Value};
 use std::collections::BTreeMap;
 use std::ops::Range;
 use toml::Spanned;
 use toml::de::{DeTable, DeValue};
 
-/// A text that is TOML.
-pub(super) struct Source<'t> {
-    file: &'t str,
-    text: &'t str,
+/// A text that is TOML, with the places of its keys.
+#[derive(Debug)]
+pub struct Source {
+    /// The file, or another name of the text.
+    pub file: String,
+    text: String,
     places: BTreeMap<Key, Places>,
 }
 
+/// A text that is not TOML.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NotToml {
+    /// Where reading ended, if anywhere.
+    pub place: Option<Place>,
+    /// Why.
+    pub what: String,
+}
+
+#[derive(Debug)]
 struct Places {
     name: Range<usize>,
     value: Range<usize>,
 }
 
-impl<'t> Source<'t> {
+impl Source {
     /// Reads a text. What JSON cannot hold becomes null and a complaint.
     ///
     /// # Errors
     /// The first place where it is not TOML.
-    pub fn read(file: &'t str, text: &'t str) -> Result<(Source<'t>, Value, Complaints), Problems> {
-        let tree = DeTable::parse(text).map_err(|error| {
-            let place = error.span().map(|span| Place::of(text, span));
-            let what = format!("not TOML: {}", error.message());
-            let (file, key, right) = (file.to_owned(), String::new(), String::new());
-            Problems(vec![Finding { file, key, place, what, right }])
+    pub fn read(file: &str, text: &str) -> Result<(Source, Value, Complaints), NotToml> {
+        let tree = DeTable::parse(text).map_err(|error| NotToml {
+            place: error.span().map(|span| Place::of(text, span)),
+            what: error.message().to_owned(),
         })?;
-        let mut source = Source { file, text, places: BTreeMap::new() };
+        let mut source = Source { file: file.to_owned(), text: text.to_owned(), places: BTreeMap::new() };
         let mut complaints = Complaints::default();
         let value = source.table(&Key::default(), tree.get_ref(), &mut complaints);
         Ok((source, value, complaints))
     }
 
+    /// The text.
+    pub fn text(&self) -> &str {
+        &self.text
+    }
+
+    /// Whether a key is in the text.
+    pub fn has(&self, key: &Key) -> bool {
+        self.places.contains_key(key)
+    }
+
+    /// Where a key's value stands, or with `name` the key itself; one that is not in the text belongs to what
+    /// should contain it.
+    pub fn place(&self, key: &Key, name: bool) -> Place {
+        Place::of(&self.text, self.range(key, name))
+    }
+
     fn table(&mut self, key: &Key, table: &DeTable, complaints: &mut Complaints) -> Value {
         let entries = table.iter().map(|(name, value)| {
             let key = key.name(name.get_ref().as_ref());
@@ -63,43 +89,28 @@
             DeValue::Integer(digits) => match i64::from_str_radix(digits.as_str(), digits.radix()) {
                 Ok(number) => number.into(),
                 Err(_) => {
-                    complaints.add(key.clone(), "the number is too large", "");
+                    complaints.put(key.clone(), Fault::Range, "the number is too large", "");
                     Value::Null
                 }
             },
             DeValue::Float(digits) => match digits.as_str().parse::<f64>().ok().and_then(Number::from_f64) {
                 Some(number) => Value::Number(number),
                 None => {
-                    complaints.add(key.clone(), "the number is not finite", "");
+                    complaints.put(key.clone(), Fault::Range, "the number is not finite", "");
                     Value::Null
                 }
             },
             DeValue::Datetime(_) => {
-                complaints.add(key.clone(), "a date means nothing here", "");
+                complaints.put(key.clone(), Fault::Type, "a date means nothing here", "");
                 Value::Null
             }
         }
     }
 
-    /// Complaints with their places, in the order of the text.
-    pub fn locate(&self, complaints: Complaints) -> Problems {
-        let located = |(key, complaint)| (self.range(&key, &complaint), key, complaint);
-        let mut found: Vec<(Range<usize>, Key, Complaint)> = complaints.0.into_iter().map(located).collect();
-        found.sort_by_key(|(range, ..)| range.start);
-        let finding = |(range, key, complaint): (_, Key, Complaint)| Finding {
-            file: self.file.to_owned(),
-            key: key.to_string(),
-            place: Some(Place::of(self.text, range)),
-            what: complaint.what,
-            right: complaint.right,
-        };
-        Problems(found.into_iter().map(finding).collect())
-    }
-
-    /// Where a complaint belongs; a key that is not in the text belongs to what should contain it.
-    fn range(&self, key: &Key, complaint: &Complaint) -> Range<usize> {
+    /// The same as a range of bytes.
+    pub fn range(&self, key: &Key, name: bool) -> Range<usize> {
         if let Some(places) = self.places.get(key) {
-            return if complaint.name { places.name.clone() } else { places.value.clone() };
+            return if name { places.name.clone() } else { places.value.clone() };
         }
         let mut key = key.parent();
         while let Some(parent) = key {
--- a/crates/lab/src/experiment/key_path.rs
+++ b/crates/lab/src/experiment/key_path.rs
@@ -1,8 +1,8 @@
 //! Key paths into a scenario, such as `clients.load` or `tier[0].kind[1].speed`: which there are, after the
 //! scenario's JSON Schema, and setting one in a parsed file.
 
-use crate::nearest::nearest;
 use crate::scenario::Scenario;
+use olivecart_config::document::nearest;
 use serde_json::Value as Json;
 use std::fmt;
 use toml_edit::{DocumentMut, Item, Table, Value};
--- a/crates/lab/src/experiment/select.rs
+++ b/crates/lab/src/experiment/select.rs
@@ -6,8 +6,8 @@
 use super::folder::RESULTS;
 use super::metrics::Measured;
 use super::words::run_words;
-use crate::nearest::nearest;
 use crate::results::{Entry, Outcome, Reader, ResultsError, Torn};
+use olivecart_config::document::nearest;
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::{Path, PathBuf};
 
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,7 +7,6 @@
 pub mod experiment;
 pub mod mangler;
 pub mod model;
-mod nearest;
 pub mod policy;
 pub mod report;
 pub mod results;
--- a/crates/lab/src/policy/named.rs
+++ b/crates/lab/src/policy/named.rs
@@ -4,7 +4,7 @@
 use super::chassis::Textbook;
 use super::pick::{LeastOutstanding, Oracle, Pick, PowerOfTwo, Random, RingHash, RoundRobin};
 use super::{Place, Policy};
-use crate::nearest::instead;
+use olivecart_config::document::instead;
 use olivecart_decisions::Balancer;
 use thiserror::Error;
 
--- a/crates/lab/src/scenario/check/classes.rs
+++ b/crates/lab/src/scenario/check/classes.rs
@@ -1,9 +1,8 @@
 //! Classes of requests, their work, and tenants.
 
 use super::{above_zero, round_trip};
-use crate::scenario::key::{Key, top};
-use crate::scenario::problem::Complaints;
 use crate::scenario::{Class, Distribution, Effect, Group, Scenario, Span};
+use olivecart_config::document::{Complaints, Key, top};
 
 pub(super) fn check(scenario: &Scenario, complaints: &mut Complaints) {
     for (i, class) in scenario.class.iter().enumerate() {
--- a/crates/lab/src/scenario/check/clients.rs
+++ b/crates/lab/src/scenario/check/clients.rs
@@ -1,9 +1,8 @@
 //! Who calls, and how much.
 
 use super::{above_zero, round_trip};
-use crate::scenario::key::top;
-use crate::scenario::problem::Complaints;
 use crate::scenario::{Scenario, Shape, Span};
+use olivecart_config::document::{Complaints, top};
 
 /// Overload beyond this is a slip of the pen: all that would be measured is refusing.
 const MOST_LOAD: f64 = 20.0;
--- a/crates/lab/src/scenario/check/faults.rs
+++ b/crates/lab/src/scenario/check/faults.rs
@@ -1,9 +1,8 @@
 //! Faults: that what is given means something, and that each touches somebody.
 
-use crate::nearest::instead;
-use crate::scenario::key::{Key, top};
-use crate::scenario::problem::Complaints;
 use crate::scenario::{Fault, FaultKind, Scenario};
+use olivecart_config::document::instead;
+use olivecart_config::document::{Complaints, Key, top};
 
 /// What a kind of fault is told by.
 struct Terms {
--- a/crates/lab/src/scenario/check/fleet.rs
+++ b/crates/lab/src/scenario/check/fleet.rs
@@ -1,9 +1,8 @@
 //! Tiers, kinds of machine, and their numbers.
 
 use super::above_zero;
-use crate::scenario::key::{Key, top};
-use crate::scenario::problem::Complaints;
 use crate::scenario::{Kind, Scenario, Tier};
+use olivecart_config::document::{Complaints, Key, top};
 
 /// Most machines, and most proxies, over all tiers.
 const MOST: u64 = 200_000;
--- a/crates/lab/src/scenario/check/mod.rs
+++ b/crates/lab/src/scenario/check/mod.rs
@@ -7,9 +7,8 @@
 mod names;
 mod settings;
 
-use super::key::Key;
-use super::problem::Complaints;
 use super::{Scenario, Span};
+use olivecart_config::document::{Complaints, Key};
 
 /// Checks each part, and the parts against each other.
 pub(super) fn check(scenario: &Scenario, complaints: &mut Complaints) {
--- a/crates/lab/src/scenario/check/names.rs
+++ b/crates/lab/src/scenario/check/names.rs
@@ -1,8 +1,7 @@
 //! Names: what they are made of, and that each is given once.
 
 use crate::scenario::Scenario;
-use crate::scenario::key::{Key, top};
-use crate::scenario::problem::Complaints;
+use olivecart_config::document::{Complaints, Key, top};
 
 pub(super) fn check(scenario: &Scenario, complaints: &mut Complaints) {
     spelling(complaints, top("name"), &scenario.name);
--- a/crates/lab/src/scenario/check/settings.rs
+++ b/crates/lab/src/scenario/check/settings.rs
@@ -1,9 +1,8 @@
 //! Lengths of the run, the network, discovery, limits, rules and bounds.
 
 use super::above_zero;
-use crate::scenario::key::top;
-use crate::scenario::problem::Complaints;
 use crate::scenario::{Scenario, Span};
+use olivecart_config::document::{Complaints, top};
 
 /// Results have an entry for each second: a day is what they are meant for.
 const LONGEST: Span = Span::from_nanos(86_400_000_000_000);
--- a/crates/lab/src/scenario/read.rs
+++ b/crates/lab/src/scenario/read.rs
@@ -1,9 +1,8 @@
 //! Reading scenarios: from a file or a text to one that has passed every check.
 
-use super::key::{Key, top};
-use super::problem::{Complaint, Complaints, Finding, Problems};
-use super::source::Source;
-use super::{Scenario, VERSION, check, schema, shape};
+use super::problem::{Finding, Problems};
+use super::{Scenario, VERSION, check, schema};
+use olivecart_config::document::{Complaint, Complaints, Key, Place, Source, shape, top};
 use serde_json::Value;
 use std::ops::Deref;
 use std::path::Path;
@@ -76,9 +75,13 @@
     /// # Errors
     /// All that is wrong with it, with line, column and key.
     pub fn parse(name: &str, text: &str) -> Result<Checked, Problems> {
-        let (source, value, mut complaints) = Source::read(name, text)?;
+        let (source, value, mut complaints) = Source::read(name, text).map_err(|bad| {
+            let (file, key, right) = (name.to_owned(), String::new(), String::new());
+            let what = format!("not TOML: {}", bad.what);
+            Problems(vec![Finding { file, key, place: bad.place, what, right }])
+        })?;
         let checked = check_value(value, &mut complaints);
-        checked.ok_or_else(|| source.locate(complaints))
+        checked.ok_or_else(|| located(&source, complaints))
     }
 }
 
@@ -140,6 +143,22 @@
     }
 }
 
+/// Complaints with their places, in the order of the text.
+fn located(source: &Source, complaints: Complaints) -> Problems {
+    let located =
+        |(key, complaint): (Key, Complaint)| (source.range(&key, complaint.is_about_name()), key, complaint);
+    let mut found: Vec<_> = complaints.0.into_iter().map(located).collect();
+    found.sort_by_key(|(range, ..)| range.start);
+    let finding = |(range, key, complaint): (_, Key, Complaint)| Finding {
+        file: source.file.clone(),
+        key: key.to_string(),
+        place: Some(Place::of(source.text(), range)),
+        what: complaint.what,
+        right: complaint.right,
+    };
+    Problems(found.into_iter().map(finding).collect())
+}
+
 fn without_text(name: &str, complaints: Complaints) -> Problems {
     let finding = |(key, complaint): (Key, Complaint)| Finding {
         file: name.to_owned(),
--- a/crates/lab/src/scenario/schema.rs
+++ b/crates/lab/src/scenario/schema.rs
@@ -14,3 +14,11 @@
 pub(super) fn tree() -> &'static Value {
     &SCHEMA
 }
+
+#[cfg(test)]
+mod tests {
+    #[test]
+    fn the_schema_says_nothing_that_is_not_understood() {
+        assert_eq!(olivecart_config::document::shape::understands(super::tree()), Ok(()));
+    }
+}
--- a/crates/lab/src/scenario/types.rs
+++ b/crates/lab/src/scenario/types.rs
@@ -7,7 +7,7 @@
 //!
 //! Names of all things are 1 to 64 letters, digits, `_`, `-` or `.`, each given once.
 
-use super::span::Span;
+use olivecart_config::document::Span;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
