olivecart config: check, write, explain and roll out every application's configuration

Need: every caller runs its own proxy, so that configuration multiplies; a file with a window of a nanosecond passed without a word, and nothing held one application's file against its neighbours'.

Change: the package olivecart-config reads fleets, applications and what one proxy reads; puts layers together with the origin of every value; finds 55 kinds of faults, each with a code, places, a reason and a way out, as text, JSON or SARIF; writes each proxy's file, the same to the byte; tells differences, and the order in which applications must take a change so that no mixture on the way breaks a rule, or why there is none.

--- /dev/null
+++ b/crates/config/src/schema.rs
@@ -0,0 +1,37 @@
+//! JSON Schemas of the three kinds of files, generated from the types.
+
+use crate::types::{Application, Fleet, Kind, Proxy};
+use schemars::schema_for;
+use serde_json::Value;
+use std::sync::LazyLock;
+
+static FLEET: LazyLock<Value> = LazyLock::new(|| schema_for!(Fleet).to_value());
+static APPLICATION: LazyLock<Value> = LazyLock::new(|| schema_for!(Application).to_value());
+static PROXY: LazyLock<Value> = LazyLock::new(|| schema_for!(Proxy).to_value());
+
+/// The schema of a kind of files.
+pub fn tree(kind: Kind) -> &'static Value {
+    match kind {
+        Kind::Fleet => &FLEET,
+        Kind::Application => &APPLICATION,
+        Kind::Proxy => &PROXY,
+    }
+}
+
+/// The same as text.
+pub fn text(kind: Kind) -> String {
+    format!("{:#}\n", tree(kind))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::document::shape::understands;
+
+    #[test]
+    fn the_schemas_say_nothing_that_is_not_understood() {
+        for kind in Kind::ALL {
+            assert_eq!(understands(tree(kind)), Ok(()), "{}", kind.name());
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/tests/bad.rs
@@ -0,0 +1,160 @@
+//! Deliberately bad configurations, one file each under `bad/`: each is rejected with exactly the code and place that
+//! the file says. A file says how it differs from the good example.
+
+use olivecart_config::check::check;
+use olivecart_config::load::Loaded;
+use olivecart_config::report::{CODES, Findings, json, sarif, text};
+use serde::Deserialize;
+use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
+
+/// One bad configuration.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Case {
+    /// The code of its only finding.
+    code: String,
+    /// The finding's first place: `FILE:LINE:COLUMN`, or `FILE` alone.
+    place: String,
+    /// The other places, in order.
+    #[serde(default)]
+    beside: Vec<String>,
+    /// Variables of the environment.
+    #[serde(default)]
+    environment: Vec<(String, String)>,
+    /// Single proxies are judged, not the fleet.
+    #[serde(default)]
+    proxies: Vec<String>,
+    /// What differs.
+    #[serde(default)]
+    edit: Vec<Edit>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Edit {
+    file: String,
+    /// What goes, once; the whole file if left out.
+    replace: Option<String>,
+    /// What comes; the file goes if left out.
+    with: Option<String>,
+}
+
+fn base() -> Vec<(String, String)> {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/examples/fleet");
+    let names = ["fleet.toml", "apps/booking.toml", "apps/records.toml", "apps/web.toml"];
+    names.map(|name| (name.to_owned(), std::fs::read_to_string(root.join(name)).expect("the example"))).into()
+}
+
+fn cases() -> Vec<(String, Case)> {
+    let directory = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/bad");
+    let mut paths: Vec<PathBuf> =
+        std::fs::read_dir(directory).expect("there").map(|entry| entry.expect("read").path()).collect();
+    paths.sort();
+    let read = |path: PathBuf| {
+        let name = path.file_name().expect("a file").to_string_lossy().into_owned();
+        let text = std::fs::read_to_string(&path).expect("read");
+        let case = toml::from_str(&text).unwrap_or_else(|error| panic!("{name}: {error}"));
+        (name, case)
+    };
+    paths.into_iter().map(read).collect()
+}
+
+fn judged(name: &str, case: &Case) -> Findings {
+    let mut files = base();
+    for Edit { file, replace, with } in &case.edit {
+        let at = files.iter().position(|(known, _)| known == file);
+        match (at, replace, with) {
+            (Some(at), Some(old), Some(new)) => {
+                assert_eq!(
+                    files[at].1.matches(old.as_str()).count(),
+                    1,
+                    "{name}: {old:?} is not once in {file}"
+                );
+                files[at].1 = files[at].1.replacen(old.as_str(), new, 1);
+            }
+            (Some(at), None, Some(new)) => files[at].1.clone_from(new),
+            (Some(at), None, None) => _ = files.remove(at),
+            (None, None, Some(new)) => files.push((file.clone(), new.clone())),
+            _ => panic!("{name}: an edit of {file} that means nothing"),
+        }
+    }
+    // The fleet first, then applications by name, as from a directory.
+    files.sort_by_key(|(file, _)| (file != "fleet.toml", file.clone()));
+    let mut loaded = Loaded::default();
+    for (file, text) in &files {
+        if case.proxies.is_empty() || case.proxies.contains(file) {
+            loaded.add_text(file, text);
+        }
+    }
+    check(&loaded, &case.environment).1
+}
+
+/// The findings of a case as its file says them.
+fn said(findings: &Findings) -> Vec<(String, Vec<String>)> {
+    let place = |spot: &olivecart_config::report::Spot| match &spot.place {
+        Some(place) => format!("{}:{}:{}", spot.file, place.line, place.column),
+        None => spot.file.clone(),
+    };
+    findings.all().iter().map(|f| (f.code.id.to_owned(), f.spots.iter().map(place).collect())).collect()
+}
+
+#[test]
+fn every_bad_configuration_is_rejected_with_its_code_and_place() {
+    let cases = cases();
+    assert!(cases.len() >= 80, "only {}", cases.len());
+    let mut wrong = Vec::new();
+    for (name, case) in &cases {
+        let findings = judged(name, case);
+        let mut places = vec![case.place.clone()];
+        places.extend(case.beside.iter().cloned());
+        if said(&findings) != [(case.code.clone(), places)] {
+            wrong.push(format!("{name}: {:?}\n{}", said(&findings), text(&findings)));
+        }
+    }
+    assert!(wrong.is_empty(), "{} of {}:\n{}", wrong.len(), cases.len(), wrong.join("\n"));
+}
+
+#[test]
+fn every_code_has_a_bad_configuration() {
+    // Of a file that cannot be read there is none here; `a_file_that_is_not_there` has one.
+    let shown: BTreeSet<String> =
+        cases().into_iter().map(|(_, case)| case.code).chain(["OC0010".into()]).collect();
+    let codes: BTreeSet<String> = CODES.iter().map(|code| code.id.to_owned()).collect();
+    assert_eq!(codes.difference(&shown).collect::<Vec<_>>(), Vec::<&String>::new());
+    assert!(CODES.windows(2).all(|pair| pair[0].id < pair[1].id), "in order, each once");
+}
+
+#[test]
+fn the_good_example_has_no_findings() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/examples/fleet/fleet.toml");
+    let loaded = Loaded::read(&root);
+    let (resolved, findings) = check(&loaded, &Vec::new());
+    assert_eq!((resolved.len(), text(&findings)), (3, String::new()));
+}
+
+#[test]
+fn a_file_that_is_not_there() {
+    let loaded = Loaded::read(Path::new("/nowhere/fleet.toml"));
+    let (_, findings) = check(&loaded, &Vec::new());
+    assert_eq!(said(&findings), [("OC0010".into(), vec!["/nowhere/fleet.toml".into()])]);
+    assert!(text(&findings).contains("No such file"), "{}", text(&findings));
+}
+
+#[test]
+fn findings_are_told_to_programs_too() {
+    for (name, case) in cases() {
+        let findings = judged(&name, &case);
+        let rows: serde_json::Value = serde_json::from_str(&json(&findings)).expect("JSON");
+        assert_eq!(rows[0]["code"], *case.code, "{name}");
+        let log: serde_json::Value = serde_json::from_str(&sarif(&findings)).expect("JSON");
+        let result = &log["runs"][0]["results"][0];
+        assert_eq!(result["ruleId"], *case.code, "{name}");
+        let rule = result["ruleIndex"].as_u64().expect("an index") as usize;
+        assert_eq!(log["runs"][0]["tool"]["driver"]["rules"][rule]["id"], *case.code, "{name}");
+        if let Some(line) = case.place.split(':').nth(1) {
+            let region = &result["locations"][0]["physicalLocation"]["region"];
+            assert_eq!(region["startLine"].to_string(), line, "{name}");
+        }
+    }
+}
--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -4,7 +4,7 @@
 use crate::clusters::{Clusters, Routing, Start};
 use crate::config::{Changes, Config};
 use crate::operators::Operators;
-use crate::{catalog, listen, reload, shutdown, tools};
+use crate::{catalog, config_tool, listen, reload, shutdown, tools};
 use argh::FromArgs;
 use slog::{Drain, Logger, crit, info, o};
 use std::cell::RefCell;
@@ -28,6 +28,7 @@
     Serve(Serve),
     Check(Check),
     Catalog(tools::Catalog),
+    Config(config_tool::Config),
     Version(Version),
 }
 
@@ -70,6 +71,7 @@
             ExitCode::SUCCESS
         }
         Command::Catalog(asked) => tools::run(asked),
+        Command::Config(asked) => config_tool::run(asked),
         Command::Check(Check { config, clusters }) => match Config::from_environment(config, clusters) {
             Ok(config) => {
                 println!("{config}");
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -12,6 +12,7 @@
 mod clock;
 mod clusters;
 mod config;
+mod config_tool;
 mod descriptors;
 mod discovery;
 mod driver;
