olivecart sidecar: inbound, outbound and admin listeners beside an application

Need: every caller runs its own proxy; what the tool writes had nothing that ran it.

Change: one process binds an inbound listener before the application, an outbound one for each service that it calls and an admin listener on loopback. Each has its own routes, book of requests and decisions; descriptors and the catalog are shared. The application is let in by the sidecar's own checks (one good, three bad in a row), and at the end inbound drains to its last connection before outbound ends. The steps of the shut-down are shared with serve, whose behaviour is as it was.

Found on the way: with the application as a draining endpoint the decisions held requests for 20 s; its cluster is taken away instead, and they are refused at once.

--- a/crates/proxy/src/catalog/mod.rs
+++ b/crates/proxy/src/catalog/mod.rs
@@ -33,7 +33,7 @@
 const REPORT: Duration = Duration::from_secs(60);
 
 /// What the event loop is told, in order.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub enum Step {
     /// A cluster is there, without endpoints yet.
     Added(ClusterName, ClusterSettings),
@@ -65,6 +65,16 @@
     },
 }
 
+impl Step {
+    /// The cluster that it is about.
+    pub fn cluster(&self) -> &ClusterName {
+        match self {
+            Step::Added(cluster, _) | Step::Removed(cluster) => cluster,
+            Step::Changed { cluster, .. } | Step::Renewed { cluster, .. } => cluster,
+        }
+    }
+}
+
 /// Why the catalog did not start.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -3,12 +3,13 @@
 use crate::clock::Clock;
 use crate::clusters::{Clusters, Routing, Start};
 use crate::config::{Changes, Config};
+use crate::descriptors::Descriptors;
 use crate::operators::Operators;
-use crate::{catalog, config_tool, listen, reload, shutdown, tools};
+use crate::{catalog, config_tool, listen, reload, shutdown, sidecar, tools};
 use argh::FromArgs;
 use slog::{Drain, Logger, crit, info, o};
 use std::cell::RefCell;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -29,6 +30,7 @@
     Check(Check),
     Catalog(tools::Catalog),
     Config(config_tool::Config),
+    Sidecar(Sidecar),
     Version(Version),
 }
 
@@ -58,6 +60,16 @@
     clusters: Option<PathBuf>,
 }
 
+/// Serve beside an application, from the file that `config write` makes: an inbound listener before it, and an outbound
+/// one for each service that it calls. SIGTERM or POST /drain ends it.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "sidecar")]
+struct Sidecar {
+    /// what one proxy reads (kind = "proxy")
+    #[argh(option)]
+    config: PathBuf,
+}
+
 /// Print the version.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "version")]
@@ -72,6 +84,7 @@
         }
         Command::Catalog(asked) => tools::run(asked),
         Command::Config(asked) => config_tool::run(asked),
+        Command::Sidecar(Sidecar { config }) => beside(&config),
         Command::Check(Check { config, clusters }) => match Config::from_environment(config, clusters) {
             Ok(config) => {
                 println!("{config}");
@@ -112,13 +125,37 @@
     }
 }
 
-fn serve(config: Config) -> ExitCode {
-    // Lines go to standard error from a thread of their own; when it can't keep up they are dropped, and
-    // a reader that stalls never stalls the proxy.
+/// Lines go to standard error from a thread of their own; when it can't keep up they are dropped, and a reader that
+/// stalls never stalls the proxy. What is still queued is written when the guard is dropped.
+fn logger(name: String) -> (Logger, slog_async::AsyncGuard) {
     let decorator = slog_term::PlainDecorator::new(std::io::stderr());
     let drain = slog_term::FullFormat::new(decorator).build().fuse();
     let (drain, guard) = slog_async::Async::new(drain).build_with_guard();
-    let log = Logger::root(drain.fuse(), o!("proxy" => config.name.clone()));
+    (Logger::root(drain.fuse(), o!("proxy" => name)), guard)
+}
+
+/// Runs a sidecar.
+fn beside(path: &Path) -> ExitCode {
+    let environment = config_tool::environment();
+    let name = match sidecar::read(path, &environment) {
+        Ok((_, resolved)) => resolved.proxy.name,
+        Err(e) => {
+            eprintln!("{e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let (log, guard) = logger(name);
+    let done = actix_rt::System::new().block_on(sidecar::serve(path, &environment, log.clone()));
+    if let Err(e) = &done {
+        crit!(log, "stopped"; "error" => %e);
+    }
+    drop(log);
+    drop(guard); // writes what is still queued
+    if done.is_ok() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+fn serve(config: Config) -> ExitCode {
+    let (log, guard) = logger(config.name.clone());
     let done = actix_rt::System::new().block_on(async {
         let hang_up = reload::register()?; // before anything that takes time
         let Config { listen, discovery, seed, sockets, known, origin, operators, .. } = config;
@@ -131,7 +168,9 @@
             Some(operators) => with_catalog(operators, seed, clock, &log).map(|(r, c)| (r, Some(c)))?,
             None => (Routing::default(), None),
         };
-        let start = Start { site: site.clone(), clock, seed, sockets, discovery, known, routing };
+        let descriptors = Rc::new(Descriptors::new(sockets.backends));
+        let discovery = Some(discovery);
+        let start = Start { site: site.clone(), clock, seed, descriptors, discovery, known, routing };
         let clusters = Clusters::start(start, &log);
         if let (Some(catalog), Some(ask)) = (catalog, ask) {
             let asked = Rc::new(Notify::new());
--- a/crates/proxy/src/clusters.rs
+++ b/crates/proxy/src/clusters.rs
@@ -2,7 +2,7 @@
 
 use crate::catalog::{Numbered, Step};
 use crate::clock::Clock;
-use crate::config::{Changes, Sockets};
+use crate::config::Changes;
 use crate::descriptors::Descriptors;
 use crate::driver::{Driver, Shared};
 use crate::membership::News;
@@ -54,13 +54,8 @@
     /// decisions' interface (they say when to ask, and judge its silence), and without an operators' file it
     /// must stay what it is. So it is a cluster beside the catalog's, which rules can lead to.
     pub fn start(config: Start, log: &Logger) -> Rc<Clusters> {
-        let Start { site, clock, seed, sockets, discovery, known, routing } = config;
-        let shared = Rc::new(Shared {
-            clock,
-            site,
-            book: Rc::default(),
-            descriptors: Rc::new(Descriptors::new(sockets.backends)),
-        });
+        let Start { site, clock, seed, descriptors, discovery, known, routing } = config;
+        let shared = Rc::new(Shared { clock, site, book: Rc::default(), descriptors });
         let Routing { named, rules, overrides } = routing;
         let at = |name: ClusterName| named.iter().position(|known| *known == name).unwrap_or(0);
         let rules = rules.map(at);
@@ -78,7 +73,7 @@
         if let Some(place) = clusters.routes.place(REGISTRY) {
             let name = REGISTRY.into();
             let settings = clusters.settings(&name, &ClusterSettings::default());
-            let driver = Driver::start(&clusters.shared, settings, seed, Some(discovery), log.clone());
+            let driver = Driver::start(&clusters.shared, settings, seed, discovery, log.clone());
             clusters.limit(&name, &driver, &ClusterSettings::default());
             place.serve(driver.context.clone());
             driver.follow(&self::known(known.as_deref(), log));
@@ -96,28 +91,33 @@
     /// Does what the catalog says, for good.
     pub async fn follow(self: Rc<Self>, mut steps: Receiver<Step>) {
         while let Some(step) = steps.recv().await {
-            match step {
-                Step::Added(cluster, limits) => self.add(cluster, &limits),
-                Step::Removed(cluster) => self.remove(&cluster),
-                Step::Changed { cluster, limits, stops, takes, words } => {
-                    let Some(driver) = self.brought.borrow().get(&cluster).cloned() else { continue };
-                    limits.iter().for_each(|limits| self.limit(&cluster, &driver, limits));
-                    self.change(&driver, stops, takes).await;
-                    if let Some(words) = words {
-                        info!(self.log, "cluster changed"; "cluster" => %cluster, "last" => words);
-                    }
-                }
-                Step::Renewed { cluster, limits, stops, takes } => {
-                    let old = self.brought.borrow().get(&cluster).cloned();
-                    let driver = self.start_one(&cluster, &limits);
-                    // Filled before requests are put to it; what is open at the old one ends there.
-                    self.change(&driver, stops, takes).await;
-                    self.serve(cluster, driver);
-                    old.iter().for_each(|old| old.retire());
+            self.apply(step).await;
+        }
+        crit!(self.log, "the catalog has ended; endpoints stay as they are");
+    }
+
+    /// Does one step.
+    pub async fn apply(&self, step: Step) {
+        match step {
+            Step::Added(cluster, limits) => self.add(cluster, &limits),
+            Step::Removed(cluster) => self.remove(&cluster),
+            Step::Changed { cluster, limits, stops, takes, words } => {
+                let Some(driver) = self.brought.borrow().get(&cluster).cloned() else { return };
+                limits.iter().for_each(|limits| self.limit(&cluster, &driver, limits));
+                self.change(&driver, stops, takes).await;
+                if let Some(words) = words {
+                    info!(self.log, "cluster changed"; "cluster" => %cluster, "last" => words);
                 }
             }
+            Step::Renewed { cluster, limits, stops, takes } => {
+                let old = self.brought.borrow().get(&cluster).cloned();
+                let driver = self.start_one(&cluster, &limits);
+                // Filled before requests are put to it; what is open at the old one ends there.
+                self.change(&driver, stops, takes).await;
+                self.serve(cluster, driver);
+                old.iter().for_each(|old| old.retire());
+            }
         }
-        crit!(self.log, "the catalog has ended; endpoints stay as they are");
     }
 
     /// Takes in changed endpoints: those that stop in one turn, the others in parts, between which the event
@@ -238,10 +238,10 @@
     pub clock: Clock,
     /// Feeds all chance.
     pub seed: u64,
-    /// Shares of the descriptor limit.
-    pub sockets: Sockets,
-    /// Discovery's address.
-    pub discovery: SocketAddr,
+    /// What connections to endpoints count against.
+    pub descriptors: Rc<Descriptors>,
+    /// Discovery's address; none where no platform's cluster is led to.
+    pub discovery: Option<SocketAddr>,
     /// The platform's list as this proxy last had it, in discovery's form.
     pub known: Option<String>,
     /// Which request goes where.
--- a/crates/proxy/src/config_tool.rs
+++ b/crates/proxy/src/config_tool.rs
@@ -208,7 +208,7 @@
 }
 
 /// What the environment sets.
-fn environment() -> Environment {
+pub fn environment() -> Environment {
     let set = std::env::vars_os()
         .filter_map(|(name, value)| Some((name.into_string().ok()?, value.into_string().ok()?)));
     let mut set: Environment = set.filter(|(name, _)| name.starts_with(VARIABLE)).collect();
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -23,6 +23,7 @@
 mod platform;
 mod reload;
 mod shutdown;
+mod sidecar;
 mod stages;
 mod tools;
 mod wire;
--- a/crates/proxy/src/operators/mod.rs
+++ b/crates/proxy/src/operators/mod.rs
@@ -37,7 +37,7 @@
 
 pub use problem::Problems;
 pub use read::read;
-pub use rules::Rules;
+pub use rules::{Criteria, Rules};
 
 use olivecart_membership::xds::conversation::Variant;
 use olivecart_membership::{ClusterName, ClusterSettings, Policy, SourceId};
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::Notify;
 use tokio::time::sleep;
 
 /// For so long after the signal clients are still served on the connections they have, and on new ones:
@@ -23,29 +24,52 @@
 
 /// Waits for SIGTERM or an interrupt, and then until nothing is left to answer.
 pub async fn on_signal(gate: Rc<Gate>, log: Logger) -> io::Result<()> {
+    asked(&Notify::new()).await?;
+    drain(&[gate], &log).await;
+    Ok(())
+}
+
+/// Waits for SIGTERM, an interrupt, or a word.
+pub async fn asked(word: &Notify) -> io::Result<()> {
     let (mut term, mut interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
     tokio::select! {
         _ = term.recv() => {}
         _ = interrupt.recv() => {}
+        () = word.notified() => {}
     }
+    Ok(())
+}
+
+/// Takes what still comes, answers all that was taken, and closes.
+pub async fn drain(gates: &[Rc<Gate>], log: &Logger) {
     let began = Instant::now();
-    info!(log, "leaving"; "connections" => gate.connections());
-    gate.leave(began + ALL_ANSWERED);
+    info!(log, "leaving"; "connections" => connections(gates));
+    gates.iter().for_each(|gate| gate.leave(began + ALL_ANSWERED));
     sleep(STILL_COMING).await;
-    while gate.last_accepted().elapsed() < QUIET && began.elapsed() < AT_MOST {
+    let comes = || gates.iter().any(|gate| gate.last_accepted().elapsed() < QUIET);
+    while comes() && began.elapsed() < AT_MOST {
         sleep(STEP).await;
     }
     // The listener stays open: a late connection is answered and closed rather than reset.
-    gate.close();
+    end(gates, log).await;
+    info!(log, "left"; "after_ms" => began.elapsed().as_millis() as u64);
+}
+
+/// Closes idle connections, and waits until none is left.
+pub async fn end(gates: &[Rc<Gate>], log: &Logger) {
+    let began = Instant::now();
+    gates.iter().for_each(|gate| gate.close());
     // Empty once may only mean that the next connection is not accepted yet.
     let mut empty = 0;
     while empty < 2 && began.elapsed() < LONGEST {
         sleep(STEP).await;
-        empty = if gate.connections() == 0 { empty + 1 } else { 0 };
+        empty = if connections(gates) == 0 { empty + 1 } else { 0 };
     }
-    if gate.connections() > 0 {
-        warn!(log, "connections left at the end"; "connections" => gate.connections());
+    if connections(gates) > 0 {
+        warn!(log, "connections left at the end"; "connections" => connections(gates));
     }
-    info!(log, "left"; "after_ms" => began.elapsed().as_millis() as u64);
-    Ok(())
+}
+
+fn connections(gates: &[Rc<Gate>]) -> usize {
+    gates.iter().map(|gate| gate.connections()).sum()
 }
--- /dev/null
+++ b/crates/proxy/src/sidecar/admin.rs
@@ -0,0 +1,138 @@
+//! The listener for operators, on loopback: whether it is ready, what is in force, what there is, figures, and the
+//! word to end.
+
+use super::Sidecar;
+use actix_http::{HttpService, Method, Request, Response, StatusCode};
+use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
+use bytes::Bytes;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+use slog::{Logger, warn};
+use std::convert::Infallible;
+use std::fmt::Write;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+
+/// Connections at a time: it is for a few operators, and must not take others' descriptors.
+const MOST: usize = 4;
+
+/// Serves for good.
+pub async fn serve(listener: TcpListener, sidecar: Rc<Sidecar>, log: Logger) {
+    let service = HttpService::build()
+        .client_request_timeout(Duration::from_secs(2))
+        .h1(fn_service(move |request: Request| {
+            let answer = answer(&sidecar, &request);
+            async move { Ok::<_, Infallible>(answer) }
+        })
+        .into_factory())
+        .tcp();
+    let Ok(service) = service.new_service(()).await else {
+        return warn!(log, "the admin service did not start");
+    };
+    let (service, room) = (Rc::new(service), Arc::new(Semaphore::new(MOST)));
+    loop {
+        let Ok(permit) = room.clone().acquire_owned().await else { return };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let service = service.clone();
+                actix_rt::spawn(async move {
+                    let _ = service.call(stream).await;
+                    drop(permit);
+                });
+            }
+            Err(error) => {
+                warn!(log, "accept failed"; "error" => %error);
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+    }
+}
+
+fn answer(sidecar: &Sidecar, request: &Request) -> Response<Bytes> {
+    let told = |status, text: String| Response::with_body(status, Bytes::from(text));
+    match (request.method(), request.path()) {
+        (&Method::GET, "/ready") => match sidecar.is_ready() {
+            true => told(StatusCode::OK, "ready\n".into()),
+            false => told(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into()),
+        },
+        (&Method::GET, "/config") => told(StatusCode::OK, sidecar.config.clone()),
+        (&Method::GET, "/clusters") => told(StatusCode::OK, clusters(sidecar)),
+        (&Method::GET, "/metrics") => told(StatusCode::OK, metrics(sidecar)),
+        (&Method::POST, "/drain") => {
+            sidecar.leave.notify_one();
+            told(StatusCode::OK, "leaving\n".into())
+        }
+        (_, "/ready" | "/config" | "/clusters" | "/metrics" | "/drain") => {
+            told(StatusCode::METHOD_NOT_ALLOWED, "method not allowed: POST /drain, GET all else\n".into())
+        }
+        _ => {
+            told(StatusCode::NOT_FOUND, "there are /ready, /config, /clusters, /metrics and /drain\n".into())
+        }
+    }
+}
+
+/// A line for each cluster of each listener.
+fn clusters(sidecar: &Sidecar) -> String {
+    let mut out = String::new();
+    for (listener, gate, clusters) in &sidecar.sides {
+        // Writing to a string does not fail.
+        let _ = writeln!(out, "listener {listener}: connections {}", gate.connections());
+        for place in clusters.routes.places() {
+            let _ = match place.context() {
+                Some(context) => writeln!(
+                    out,
+                    "    cluster {}: takes requests {}, open requests {}, connections {}, refused {}",
+                    place.cluster,
+                    context.backends.any_takes_requests(),
+                    context.open_requests(),
+                    context.backends.connections(),
+                    place.refused()
+                ),
+                None => {
+                    writeln!(out, "    cluster {}: not there, refused {}", place.cluster, place.refused())
+                }
+            };
+        }
+    }
+    out
+}
+
+type Labels = Vec<(String, String)>;
+
+/// Figures in Prometheus' text form.
+fn metrics(sidecar: &Sidecar) -> String {
+    let mut registry = Registry::with_prefix("olivecart");
+    let family = |registry: &mut Registry, name: &str, help: &str| {
+        let family = Family::<Labels, Gauge>::default();
+        registry.register(name, help, family.clone());
+        family
+    };
+    let ready = Gauge::<i64>::default();
+    ready.set(sidecar.is_ready().into());
+    registry.register("ready", "Whether requests are welcome", ready);
+    let endpoints = Gauge::<i64>::default();
+    endpoints.set(sidecar.descriptors.open() as i64);
+    registry.register("endpoint_connections", "Open connections to endpoints of all clusters", endpoints);
+    let clients = family(&mut registry, "client_connections", "Open connections of clients, by listener");
+    let open = family(&mut registry, "open_requests", "Open requests, by listener and cluster");
+    let refused =
+        family(&mut registry, "refused_absent", "Requests refused since their cluster was not there");
+    for (listener, gate, clusters) in &sidecar.sides {
+        let label = |name: &str, value: &str| (name.to_owned(), value.to_owned());
+        clients.get_or_create(&vec![label("listener", listener)]).set(gate.connections() as i64);
+        for place in clusters.routes.places() {
+            let labels = vec![label("listener", listener), label("cluster", &place.cluster)];
+            let requests = place.context().map_or(0, |context| context.open_requests());
+            open.get_or_create(&labels).set(requests as i64);
+            refused.get_or_create(&labels).set(place.refused() as i64);
+        }
+    }
+    let mut out = String::new();
+    let _ = encode(&mut out, &registry);
+    out
+}
--- /dev/null
+++ b/crates/proxy/src/sidecar/application.rs
@@ -0,0 +1,128 @@
+//! The application before which the sidecar stands: whether it passes its checks, and what follows.
+
+use crate::catalog::{Numbered, Step};
+use crate::clusters::Clusters;
+use olivecart_decisions::State;
+use olivecart_membership::{ClusterSettings, Endpoint};
+use slog::{Logger, info, warn};
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+/// The cluster that it is.
+pub const CLUSTER: &str = "application";
+/// Checks while it is not up, and while it is.
+const SOON: Duration = Duration::from_millis(100);
+const OFTEN: Duration = Duration::from_millis(500);
+/// A check that takes longer has failed.
+const LONG: Duration = Duration::from_millis(500);
+/// Checks that fail in a row before it is down.
+const FAILS: u32 = 3;
+/// What a check asks for; the same as the decisions' probes.
+const CHECK: &[u8] = b"GET /health/live HTTP/1.1\r\nHost: application\r\nConnection: close\r\n\r\n";
+
+/// Whether it is up, from its checks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Health {
+    is_up: bool,
+    failed: u32,
+}
+
+impl Health {
+    /// Takes in a check. Tells what it is from now on, if that is another.
+    pub fn checked(&mut self, passed: bool) -> Option<bool> {
+        self.failed = if passed { 0 } else { self.failed.saturating_add(1) };
+        let is_up = passed || (self.is_up && self.failed < FAILS);
+        (std::mem::replace(&mut self.is_up, is_up) != is_up).then_some(is_up)
+    }
+
+    /// When it is checked next.
+    pub fn wait(&self) -> Duration {
+        if self.is_up && self.failed == 0 { OFTEN } else { SOON }
+    }
+}
+
+/// The application and its cluster.
+pub struct Application {
+    address: SocketAddr,
+    most: u32,
+    clusters: Rc<Clusters>,
+    ready: Rc<Cell<bool>>,
+    log: Logger,
+}
+
+impl Application {
+    /// One that has not been checked yet: nothing is sent to it.
+    pub fn new(
+        address: SocketAddr,
+        most: u32,
+        clusters: Rc<Clusters>,
+        ready: Rc<Cell<bool>>,
+        log: Logger,
+    ) -> Application {
+        Application { address, most, clusters, ready, log }
+    }
+
+    /// Checks it for good, and has requests go to it while it is up.
+    pub async fn watch(self) {
+        let mut health = Health::default();
+        loop {
+            let passed = matches!(timeout(LONG, passes(self.address)).await, Ok(Ok(true)));
+            if let Some(is_up) = health.checked(passed) {
+                self.is(is_up).await;
+            }
+            sleep(health.wait()).await;
+        }
+    }
+
+    async fn is(&self, is_up: bool) {
+        match is_up {
+            true => info!(self.log, "the application is up"; "at" => %self.address),
+            false => warn!(self.log, "the application is down"; "at" => %self.address),
+        }
+        if !is_up {
+            // Danger: without an endpoint the decisions hold requests, and their clients wait for nothing. What
+            // was sent already ends by its own deadline.
+            self.ready.set(false);
+            return self.clusters.apply(Step::Removed(CLUSTER.into())).await;
+        }
+        let limits = ClusterSettings { max_requests: Some(self.most), ..ClusterSettings::default() };
+        self.clusters.apply(Step::Added(CLUSTER.into(), limits)).await;
+        let endpoint = Arc::new(Endpoint::ready(CLUSTER, self.address));
+        let takes = vec![Numbered { number: 0, state: State::Ready, endpoint }];
+        let (cluster, stops) = (CLUSTER.into(), Vec::new());
+        self.clusters.apply(Step::Changed { cluster, limits: None, stops, takes, words: None }).await;
+        self.ready.set(true);
+    }
+}
+
+/// Whether it answers a check with 200. Danger: what listens there now may speak another protocol.
+async fn passes(address: SocketAddr) -> std::io::Result<bool> {
+    let mut stream = TcpStream::connect(address).await?;
+    stream.write_all(CHECK).await?;
+    let mut head = [0; 12];
+    stream.read_exact(&mut head).await?;
+    Ok(&head == b"HTTP/1.1 200")
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn one_good_check_is_up_and_three_bad_ones_in_a_row_are_down() {
+        let mut health = Health::default();
+        let said: Vec<_> = "..+-+--+---.+".chars().map(|c| health.checked(c == '+')).collect();
+        let no = None;
+        let expected = [no, no, Some(true), no, no, no, no, no, no, no, Some(false), no, Some(true)];
+        assert_eq!(said, expected);
+        assert_eq!(health.wait(), OFTEN);
+        health.checked(false);
+        assert_eq!(health.wait(), SOON);
+    }
+}
