Take in what can change live of a sidecar's configuration, and refuse a bad one whole

Need: a sidecar's file could only change by a restart, and config diff claimed more than the program does.

Change: SIGHUP reads the file again; a bad or torn one is logged with its findings and changes nothing; of a good one client_connections and inbound.max_requests hold at once, and the other keys that differ are named and wait for the next start. config diff tells from the same list.

--- a/crates/config/src/diff.rs
+++ b/crates/config/src/diff.rs
@@ -41,16 +41,8 @@
     Changed(String, Vec<Edit>),
 }
 
-/// What a proxy takes in while it serves: the first part of a key. All else waits for a start.
-const LIVE: [&str; 7] = [
-    "settings.client_connections",
-    "settings.open_requests",
-    "settings.connect_timeout",
-    "outbound",
-    "inbound.max_requests",
-    "classes",
-    "tenants",
-];
+/// What a proxy takes in while it serves; all else waits for a start.
+const LIVE: [&str; 2] = ["settings.client_connections", "inbound.max_requests"];
 
 /// What differs between two sets of proxies, by name.
 pub fn diff(old: &[Resolved], new: &[Resolved]) -> Vec<Difference> {
@@ -77,12 +69,7 @@
 
 /// Whether a key changes live.
 pub fn when(key: &str) -> When {
-    let below = |live: &str| {
-        key.strip_prefix(live).is_some_and(|rest| rest.is_empty() || rest.starts_with(['.', '[']))
-    };
-    // What a listener listens on, and who is there at all, is bound at the start.
-    let bound = key.ends_with(".listen") || key.ends_with(".application");
-    if LIVE.iter().any(|live| below(live)) && !bound { When::Live } else { When::Restart }
+    if LIVE.contains(&key) { When::Live } else { When::Restart }
 }
 
 /// The values that differ between two proxies.
--- a/crates/proxy/src/sidecar/application.rs
+++ b/crates/proxy/src/sidecar/application.rs
@@ -47,25 +47,43 @@
     }
 }
 
+/// How many requests may be open at the application.
+pub struct Limit {
+    most: Cell<u32>,
+    clusters: Rc<Clusters>,
+}
+
+impl Limit {
+    /// A limit, which is in force from when the application is up.
+    pub fn new(most: u32, clusters: Rc<Clusters>) -> Limit {
+        Limit { most: Cell::new(most), clusters }
+    }
+
+    /// Another one holds from now on; what is open stays open.
+    pub async fn adopt(&self, most: u32) {
+        self.most.set(most);
+        let (cluster, limits) = (CLUSTER.into(), Some(self.settings()));
+        let step = Step::Changed { cluster, limits, stops: Vec::new(), takes: Vec::new(), words: None };
+        self.clusters.apply(step).await;
+    }
+
+    fn settings(&self) -> ClusterSettings {
+        ClusterSettings { max_requests: Some(self.most.get()), ..ClusterSettings::default() }
+    }
+}
+
 /// The application and its cluster.
 pub struct Application {
     address: SocketAddr,
-    most: u32,
-    clusters: Rc<Clusters>,
+    limit: Rc<Limit>,
     ready: Rc<Cell<bool>>,
     log: Logger,
 }
 
 impl Application {
     /// One that has not been checked yet: nothing is sent to it.
-    pub fn new(
-        address: SocketAddr,
-        most: u32,
-        clusters: Rc<Clusters>,
-        ready: Rc<Cell<bool>>,
-        log: Logger,
-    ) -> Application {
-        Application { address, most, clusters, ready, log }
+    pub fn new(address: SocketAddr, limit: Rc<Limit>, ready: Rc<Cell<bool>>, log: Logger) -> Application {
+        Application { address, limit, ready, log }
     }
 
     /// Checks it for good, and has requests go to it while it is up.
@@ -89,14 +107,14 @@
             // Danger: without an endpoint the decisions hold requests, and their clients wait for nothing. What
             // was sent already ends by its own deadline.
             self.ready.set(false);
-            return self.clusters.apply(Step::Removed(CLUSTER.into())).await;
+            return self.limit.clusters.apply(Step::Removed(CLUSTER.into())).await;
         }
-        let limits = ClusterSettings { max_requests: Some(self.most), ..ClusterSettings::default() };
-        self.clusters.apply(Step::Added(CLUSTER.into(), limits)).await;
+        let clusters = &self.limit.clusters;
+        clusters.apply(Step::Added(CLUSTER.into(), self.limit.settings())).await;
         let endpoint = Arc::new(Endpoint::ready(CLUSTER, self.address));
         let takes = vec![Numbered { number: 0, state: State::Ready, endpoint }];
         let (cluster, stops) = (CLUSTER.into(), Vec::new());
-        self.clusters.apply(Step::Changed { cluster, limits: None, stops, takes, words: None }).await;
+        clusters.apply(Step::Changed { cluster, limits: None, stops, takes, words: None }).await;
         self.ready.set(true);
     }
 }
--- a/crates/proxy/src/sidecar/mod.rs
+++ b/crates/proxy/src/sidecar/mod.rs
@@ -7,6 +7,7 @@
 
 mod admin;
 mod application;
+mod live;
 mod settings;
 
 use crate::catalog::{self, Step};
@@ -17,20 +18,20 @@
 use crate::listen::{self, Gate};
 use crate::operators::{Overrides, Rules};
 use crate::{reload, shutdown};
-use application::Application;
+use application::{Application, Limit};
+use live::Live;
 use olivecart_config::check::check;
 use olivecart_config::load::Loaded;
 use olivecart_config::report::text;
 use olivecart_config::resolve::{Environment, Resolved};
 use olivecart_membership::{ClusterName, Policy};
 use settings::{sites, sources};
-use slog::{Logger, error, info, warn};
+use slog::{Logger, error, info};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
 use tokio::net::TcpListener;
-use tokio::signal::unix::Signal;
 use tokio::sync::mpsc::Receiver;
 
 /// Why a sidecar does not start, or ended.
@@ -146,7 +147,7 @@
     }
     let outbound: Vec<Rc<Clusters>> = sides.iter().map(|side| side.clusters.clone()).collect();
     let health = Rc::new(Cell::new(proxy.inbound.is_none()));
-    let mut inbound = None;
+    let (mut inbound, mut limit) = (None, None);
     if let (Some(own), Some(site)) = (&proxy.inbound, sites.inbound) {
         let listener = bind("inbound", own.listen)?;
         let name = ClusterName::from(application::CLUSTER);
@@ -155,7 +156,9 @@
         let side = Parts { clock, seed, descriptors: &descriptors, clients: shares.inbound };
         let side = side.start("inbound".into(), listener, site, routing, log.clone());
         let most = own.max_requests.unwrap_or(olivecart_config::resolve::MAX_REQUESTS);
-        let application = Application::new(own.application, most, side.clusters.clone(), health.clone(), log);
+        let own_limit = Rc::new(Limit::new(most, side.clusters.clone()));
+        let application = Application::new(own.application, own_limit.clone(), health.clone(), log);
+        limit = Some(own_limit);
         actix_rt::spawn(application.watch());
         inbound = Some(side);
     }
@@ -191,7 +194,17 @@
     for side in sides.into_iter().chain(inbound) {
         actix_rt::spawn(listen::serve(side.listener, side.gate));
     }
-    actix_rt::spawn(hang_ups(reload::register()?, log.clone()));
+    // Danger: unregistered, the signal ends the program and all that it had taken.
+    let hang_up = reload::register()?;
+    let live = Live {
+        path: path.to_owned(),
+        environment: environment.clone(),
+        proxy: proxy.clone(),
+        inbound: before.clone().zip(limit),
+        outbound: gates.clone(),
+        log: log.clone(),
+    };
+    actix_rt::spawn(live.follow(hang_up));
     shutdown::asked(&sidecar.leave).await?;
     sidecar.leaving.set(true);
     // The application still calls others for what it has taken: outbound outlives inbound.
@@ -254,10 +267,3 @@
     }
     error!(log, "the catalog has ended; endpoints stay as they are");
 }
-
-/// Danger: unregistered, the signal ends the program and all that it had taken.
-async fn hang_ups(mut signal: Signal, log: Logger) {
-    while signal.recv().await.is_some() {
-        warn!(log, "a new configuration is taken in at the next start only");
-    }
-}
--- a/crates/proxy/tests/sidecar.rs
+++ b/crates/proxy/tests/sidecar.rs
@@ -263,6 +263,48 @@
     open.iter_mut().for_each(|stream| assert_eq!(status(stream), "200"));
 }
 
+#[test]
+fn a_new_configuration_is_taken_in_as_far_as_it_can_be_and_a_bad_one_not_at_all() {
+    let (application, records) = (Held::new(), Backend::new("records"));
+    let sidecar = Sidecar::start(application.addr, &list(&records));
+    sidecar.until_ready(true);
+    let file = sidecar.disk.join("proxy.toml");
+    let text = std::fs::read_to_string(&file).expect("written");
+    let reload = |text: &str| {
+        std::fs::write(&file, text).expect("written");
+        let id = sidecar.program.id().to_string();
+        assert!(Command::new("kill").args(["-HUP", &id]).status().expect("runs").success());
+    };
+    let client = || {
+        let inbound = sidecar.inbound;
+        std::thread::spawn(move || Client::new(inbound).get("/x").map(|(status, _)| status))
+    };
+    let mut open: Vec<_> = (0..2).map(|_| client()).collect();
+    let asked = || application.asked.recv_timeout(NEVER).expect("it comes");
+    let mut answers = vec![asked(), asked()];
+    assert_eq!(client().join().expect("no panic"), Some(503), "two at a time");
+    for round in 0..50 {
+        // Torn, bad, and valid with a key that waits for a start.
+        reload(&text[..text.len() / 2]);
+        sidecar.line("stays as it was");
+        reload(&text.replace("max_requests = 2", "max_requests = 0"));
+        sidecar.line("stays as it was");
+        let most = 2 + round % 2;
+        let other = text.replace("max_requests = 2", &format!("max_requests = {most}"));
+        reload(&other.replace("attempts = 2", "attempts = 1"));
+        sidecar.line("keys: outbound[records].attempts");
+        sidecar.line("read again");
+    }
+    // The last one allows three.
+    open.push(client());
+    answers.push(asked());
+    assert_eq!(client().join().expect("no panic"), Some(503), "three at a time");
+    answers.iter().for_each(|answer| answer.send("fine".into()).expect("asked for"));
+    for client in open {
+        assert_eq!(client.join().expect("no panic"), Some(200), "what was open is answered");
+    }
+}
+
 #[test]
 fn what_is_wrong_with_its_file_is_told_and_nothing_starts() {
     let path = fresh(".toml");
