Share an endpoint's room among the copies; let full endpoints be even in panic

Cause, two lines in `logic.rs`: - `has_room`: in_flight < max(answered, LEAST_ROOM = 6) for each copy: 17 copies are room for 102 calls at a server that answers about 23 a second with 12 out. A rate from one answer a second is mostly chance, and the maximum of it and a rounded-up count is room for one call more at every copy. - `walk`: in panic `full_until` was passed over with the marks, so that six full servers were asked 97 times a second by every copy.

Change: the least room at the first tier is twelve calls of all copies together; a copy's rate is shrunk to the mean of all endpoints by a gamma prior of four answers, less the fewer copies there are; part of a call is room at that part of the copies, those nearest to the endpoint in their order. One copy alone decides as before. Full is not a mark.

Ruled out: connections in use as the first cause (28 of 30 at a full server are calls in work, not idle ones); checks (1 to 10 failures a second before the storm, nearly all at one bad server); retries (0 to 4 Full before 14 s).

OLIVECART_LOG=debug now logs what passes between sockets and decisions, for counting across a fleet; off by default.

--- a/crates/decisions/src/logic.rs
+++ b/crates/decisions/src/logic.rs
@@ -48,10 +48,11 @@
 const HOLD_SHARE: f64 = 0.4;
 /// The same as a part of its class's aim: what waits longer is late in any case.
 const WAIT_SHARE: f64 = 0.25;
-/// An endpoint has out what it answers in this part of the shortest aim, but always so many calls; its rate
-/// is seen over so long.
+/// An endpoint has out what it answers in this part of the shortest aim, but always so many calls, or twice as
+/// many of all copies that clients call; its rate is seen over so long, with the mean's as so many answers.
 const ROOM_SHARE: f64 = 0.5;
 const LEAST_ROOM: f64 = 6.0;
+const PRIOR: f64 = 4.0;
 /// Held requests that are tried in vain before the rest is left for later.
 const RESUME_TRIES: u32 = 3;
 const RATE_SPAN: f64 = 3e9;
@@ -329,11 +330,13 @@
     /// too much over the lowest count; where all are, the one loaded least.
     fn walk(&mut self, request: &Open, permit: &Permit) -> Option<usize> {
         let now = self.now;
-        let standing = |e: &Endpoint| e.up && e.held.is_none() && e.full_until <= now;
+        let standing = |e: &Endpoint| e.up && e.held.is_none();
         let good = self.listed().filter(|e| standing(e)).count();
         // Danger: a surge or our own isolation fails checks everywhere, and the survivors drown.
         let panic = (good as f64) < PANIC_SHARE * self.order.len() as f64;
         let repeatable = !matches!(self.settings.classes[request.class].effect, Effect::Once);
+        let answered = self.order.iter().map(|&slot| self.endpoints[slot].rate.add(now, RATE_SPAN, 0.0));
+        let mean = answered.sum::<f64>() / self.order.len().max(1) as f64;
         let (mut lowest, mut eligible) = (u32::MAX, Vec::with_capacity(self.order.len()));
         for at in 0..self.order.len() {
             let (slot, e) = (self.order[at], &self.endpoints[self.order[at]]);
@@ -341,12 +344,14 @@
             let trial = repeatable && e.up && e.held.is_some() && e.in_flight == 0 && e.trial_at <= now;
             let joins = |(group, like): (Group, usize)| group.joins(&self.endpoints[like].entry, &e.entry);
             let tried = request.tries.iter().any(|t| t.slot == slot);
-            if !permit.within.is_none_or(joins) || tried || !(panic || trial || standing(e)) {
+            // Danger: marks may all be wrong, but who says it is full is; a call there costs it a handshake.
+            let open = (panic || trial || standing(e)) && e.full_until <= now;
+            if !permit.within.is_none_or(joins) || tried || !open {
                 continue;
             }
             let (count, pressure) = (e.in_flight, self.pressure(e));
             // A repeat is not kept waiting: there are few of them, and time has passed already.
-            let room = !request.tries.is_empty() || self.has_room(slot);
+            let room = !request.tries.is_empty() || self.has_room(at, mean);
             if room && self.cold_budget_allows(slot, request.work) {
                 lowest = lowest.min(count);
                 eligible.push((slot, pressure));
@@ -358,8 +363,7 @@
         first.or_else(least).map(|&(slot, _)| slot)
     }
 
-    /// The count an endpoint would have with this call, weighed by how slow it was lately and how often
-    /// it failed. What was seen long ago fades.
+    /// The count with this call, weighed by how slow it was lately and how often it failed; both fade.
     fn pressure(&self, e: &Endpoint) -> f64 {
         let age = self.now.saturating_sub(e.answered) as f64 / self.settings.rules.must_ask_in as f64;
         let (slow, blame) = (1.0 + (e.slow - 1.0) * (-age).exp(), e.blame * (-age).exp());
@@ -368,11 +372,15 @@
 
     /// Whether an endpoint has out as much as it answers in time (by Little's law, more only waits there).
     /// Danger: a server on which too much waits turns slower, stays so, and hands its load to the others.
-    fn has_room(&mut self, slot: usize) -> bool {
+    fn has_room(&mut self, at: usize, mean: f64) -> bool {
         let aim = self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(0) as f64;
-        let e = &mut self.endpoints[slot];
-        let answered = e.rate.add(self.now, RATE_SPAN, 0.0) / RATE_SPAN * aim * ROOM_SHARE;
-        f64::from(e.in_flight) < answered.max(LEAST_ROOM)
+        let (copies, e) = (f64::from(self.settings.group_size), &mut self.endpoints[self.order[at]]);
+        let (seen, prior) = (e.rate.add(self.now, RATE_SPAN, 0.0), PRIOR * (1.0 - 1.0 / copies));
+        let rate = (seen + prior) / (mean + prior).max(f64::MIN_POSITIVE) * mean / RATE_SPAN;
+        let sharers = if self.settings.tier == 0 { copies } else { 1.0 };
+        let room = (rate * aim * ROOM_SHARE).max(LEAST_ROOM.min(2.0 * LEAST_ROOM / sharers));
+        // Danger: part of a call, rounded up by each copy, is a call of all: it goes to those it is near.
+        f64::from(e.in_flight) + (1.0 - 1.0 / copies) * at as f64 / (self.order.len() as f64) < room
     }
 
     // ---- cold budget ----
--- a/crates/decisions/tests/failures.rs
+++ b/crates/decisions/tests/failures.rs
@@ -305,3 +305,52 @@
     }
     assert_eq!([waits[1] / waits[0], waits[2] / waits[1]], [2, 2], "{waits:?}");
 }
+
+/// How many calls copies of a group have out at each endpoint, if each takes so many that nobody answers.
+fn out_at_each(copies: u32, endpoints: u32, calls: usize, warm_up: u64) -> Vec<u32> {
+    let mut out = vec![0; endpoints as usize];
+    for me in 0..copies {
+        let settings = Settings { me, group_size: copies, ..settings(Effect::Repeatable) };
+        let mut b = Bench::new(settings, list(endpoints));
+        for _ in 0..warm_up {
+            b.now += 70 * MS;
+            b.serve(30 * MS);
+        }
+        (0..calls).filter_map(|_| sent(&b.request(S).1)).for_each(|at| out[at.0 as usize] += 1);
+    }
+    out
+}
+
+#[test]
+fn the_room_of_an_endpoint_is_shared_by_the_copies_of_a_large_group() {
+    // Each copy answers ten requests a second at sixteen endpoints. By Little's law an endpoint has out one of all
+    // copies together in half the aim: its room is the twelve that any endpoint has, and not six of each copy.
+    for copies in [12, 20, 60, 100] {
+        let out = out_at_each(copies, 16, 100, 100);
+        let (most, least) = (out.iter().max().copied(), out.iter().min().copied());
+        assert!(most <= Some(24) && least >= Some(6), "{copies} copies have out {out:?}");
+        assert!(out.iter().sum::<u32>() <= 16 * 16, "{copies} copies have out {out:?}");
+    }
+    assert_eq!(out_at_each(1, 1, 20, 0), [6], "one copy alone has all of its own");
+}
+
+#[test]
+fn an_endpoint_that_says_that_it_is_full_is_let_be_even_if_all_do() {
+    let mut b = Bench::new(settings(Effect::Repeatable), list(4));
+    for _ in 0..20 {
+        b.serve(100 * MS);
+    }
+    let mut tries = 0;
+    for _ in 0..20 {
+        let (id, mut actions) = b.request(S);
+        for attempt in 0.. {
+            let Some(at) = sent(&actions) else { break };
+            tries += 1;
+            b.now += MS;
+            actions = b.end(id, attempt, at, Outcome::Full, MS);
+        }
+    }
+    assert_eq!(tries, 4, "each is asked once");
+    b.now += 200 * MS;
+    assert!(sent(&b.request(S).1).is_some(), "and again after a while");
+}
--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -12,6 +12,7 @@
 use awc::http::Uri;
 use awc::{Client, Connector};
 use olivecart_decisions::EndpointId;
+use slog::{Logger, debug};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -72,6 +73,7 @@
     /// Most connections of this one, idle ones included, and how many there are.
     most: Cell<usize>,
     open: Open,
+    log: Logger,
 }
 
 impl Holder for Table {
@@ -88,7 +90,12 @@
 
 impl Backends {
     /// `idle_close`: the other side closes an idle connection after this; ours go well before.
-    pub fn new(connect_timeout: Duration, idle_close: Duration, descriptors: Rc<Descriptors>) -> Backends {
+    pub fn new(
+        connect_timeout: Duration,
+        idle_close: Duration,
+        descriptors: Rc<Descriptors>,
+        log: Logger,
+    ) -> Backends {
         let table: Rc<Table> = Rc::default();
         let holder = Rc::downgrade(&table);
         descriptors.enter(holder);
@@ -100,6 +107,7 @@
             descriptors,
             most: Cell::new(usize::MAX),
             open: Rc::default(),
+            log,
         }
     }
 
@@ -175,6 +183,7 @@
                 return None;
             }
         }
+        debug!(self.log, "connect"; "open" => self.connections(), "endpoint" => endpoint.0);
         let open = [self.descriptors.take()?, self.open.clone()];
         Some(self.connection(endpoint, addr, open))
     }
@@ -249,8 +258,9 @@
 
     #[test]
     fn there_is_somebody_to_send_to_while_the_list_names_one_as_ready() {
+        let log = Logger::root(slog::Discard, slog::o!());
         let backends =
-            Backends::new(Duration::from_secs(1), Duration::from_secs(1), Rc::new(Descriptors::new(1)));
+            Backends::new(Duration::from_secs(1), Duration::from_secs(1), Rc::new(Descriptors::new(1)), log);
         let place = |id, ready| backends.place(EndpointId(id), None, None, ready);
         assert!(!backends.any_takes_requests());
         place(3, true);
--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -7,7 +7,7 @@
 use crate::operators::Operators;
 use crate::{catalog, config_tool, listen, reload, shutdown, sidecar, tools};
 use argh::FromArgs;
-use slog::{Drain, Logger, crit, info, o};
+use slog::{Drain, Level, Logger, crit, info, o};
 use std::cell::RefCell;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -125,13 +125,20 @@
     }
 }
 
+/// The least level that is logged: OLIVECART_LOG, info unless it names one.
+fn level() -> Level {
+    std::env::var("OLIVECART_LOG").ok().and_then(|level| level.parse().ok()).unwrap_or(Level::Info)
+}
+
 /// Lines go to standard error from a thread of their own; when it can't keep up they are dropped, and a reader that
 /// stalls never stalls the proxy. What is still queued is written when the guard is dropped.
 fn logger(name: String) -> (Logger, slog_async::AsyncGuard) {
     let decorator = slog_term::PlainDecorator::new(std::io::stderr());
     let drain = slog_term::FullFormat::new(decorator).build().fuse();
     let (drain, guard) = slog_async::Async::new(drain).build_with_guard();
-    (Logger::root(drain.fuse(), o!("proxy" => name)), guard)
+    // Danger: judged behind the queue, every line would be made and sent there to be dropped.
+    let drain = slog::LevelFilter::new(drain, level()).fuse();
+    (Logger::root(drain, o!("proxy" => name)), guard)
 }
 
 /// Runs a sidecar.
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -11,6 +11,7 @@
 use crate::stages::book::Book;
 use crate::stages::context::{Context, Decisions, Limits};
 use crate::stages::{route, send};
+use crate::trace;
 use olivecart_decisions::{
     Action, Balancer, Discovery as Mode, Entry, Event, ListChange, Nanos, Settings, State, Timer,
 };
@@ -71,7 +72,8 @@
     ) -> Rc<Driver> {
         let site = shared.site.borrow();
         let connect_timeout = Duration::from_nanos(settings.limits.connect_timeout);
-        let backends = Backends::new(connect_timeout, site.idle_close, shared.descriptors.clone());
+        let backends =
+            Backends::new(connect_timeout, site.idle_close, shared.descriptors.clone(), log.clone());
         let limits = Limits { open_requests: site.most_held, second_copies: settings.limits.second_copies };
         let driver = Rc::new_cyclic(|this: &Weak<Driver>| Driver {
             context: Rc::new(Context::new(this.clone(), shared.book.clone(), backends, limits)),
@@ -115,6 +117,7 @@
         let mut entries = Vec::with_capacity(named);
         for endpoint in &news.endpoints {
             let entry = numbered(&mut self.shared.site.borrow_mut(), endpoint);
+            trace::listed(&self.log, &entry);
             self.place(&entry, endpoint.addr);
             entries.push(entry);
         }
@@ -147,6 +150,7 @@
     }
 
     fn perform(&self, action: Action) {
+        trace::action(&self.log, &action);
         let Context { book, backends, .. } = &*self.context;
         match action {
             Action::Send { request, endpoint, cap } => route::route(&self.context, request, endpoint, cap),
@@ -227,6 +231,7 @@
         }
         loop {
             let Some(event) = self.events.borrow_mut().pop_front() else { break };
+            trace::event(&self.log, &event);
             let mut actions = Vec::new();
             let handle = || self.balancer.borrow_mut().handle(self.shared.clock.now(), event, &mut actions);
             if catch_unwind(AssertUnwindSafe(handle)).is_err() {
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -26,6 +26,7 @@
 mod sidecar;
 mod stages;
 mod tools;
+mod trace;
 mod wire;
 
 use std::process::ExitCode;
--- a/crates/proxy/src/stages/admit.rs
+++ b/crates/proxy/src/stages/admit.rs
@@ -94,7 +94,8 @@
     fn context(decisions: &Rc<Recorder>, open_requests: usize) -> Rc<Context> {
         let decisions: Rc<dyn Decisions> = decisions.clone();
         let descriptors = Rc::new(Descriptors::new(1));
-        let backends = Backends::new(Duration::from_secs(1), Duration::from_secs(1), descriptors);
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let backends = Backends::new(Duration::from_secs(1), Duration::from_secs(1), descriptors, log);
         let limits = Limits { open_requests, second_copies: false };
         Rc::new(Context::new(Rc::downgrade(&decisions), Rc::default(), backends, limits))
     }
