Give repeats room like first tries; count what a fleet does from its logs

What goes beyond are repeats: `walk` let each attempt after a request's first go round `has_room` ("there are few of them"); in a jam they are most.

Change: repeats need room (`logic.rs`, walk) and without it are answered at once. Then a copy must not be left without any: its place is counted among endpoints in good standing, full ones too, and a copy has six out in all, however many copies there are.

Ruled out by pairs: less slack for chance in shedding, a learning rate by time, a room of 0.35 of the aim (docs/fleet.md).

`olivecart-lab count LOG...` adds up what all proxies did by second and by endpoint; docs/fleet.md, docs/operators/fleet.md.

--- a/crates/decisions/src/logic.rs
+++ b/crates/decisions/src/logic.rs
@@ -48,8 +48,8 @@
 const HOLD_SHARE: f64 = 0.4;
 /// The same as a part of its class's aim: what waits longer is late in any case.
 const WAIT_SHARE: f64 = 0.25;
-/// An endpoint has out what it answers in this part of the shortest aim, but always so many calls, or twice as
-/// many of all copies that clients call; its rate is seen over so long, with the mean's as so many answers.
+/// An endpoint has out what it answers in this part of the shortest aim, but always so many calls, or twice
+/// as many of all copies that clients call; its rate is seen over so long, the mean's has so many answers.
 const ROOM_SHARE: f64 = 0.5;
 const LEAST_ROOM: f64 = 6.0;
 const PRIOR: f64 = 4.0;
@@ -106,8 +106,7 @@
     begun: bool,
 }
 
-/// What the rules still permit for a request: until when it may be sent, and only to the group of which
-/// endpoint; and whether it may be refused.
+/// What the rules still permit for a request: sends, until when and to whose group; and a refusal.
 struct Permit {
     until: Nanos,
     within: Option<(Group, usize)>,
@@ -337,24 +336,25 @@
         let repeatable = !matches!(self.settings.classes[request.class].effect, Effect::Once);
         let answered = self.order.iter().map(|&slot| self.endpoints[slot].rate.add(now, RATE_SPAN, 0.0));
         let mean = answered.sum::<f64>() / self.order.len().max(1) as f64;
+        let (ranks, mut rank) = (if panic { self.order.len() } else { good.max(1) }, 0);
         let (mut lowest, mut eligible) = (u32::MAX, Vec::with_capacity(self.order.len()));
         for at in 0..self.order.len() {
             let (slot, e) = (self.order[at], &self.endpoints[self.order[at]]);
+            let (part, stands) = (f64::from(rank) / ranks as f64, panic || standing(e));
+            rank += u32::from(stands);
             // A trial is one call at a time, and never one that would be lost for good.
             let trial = repeatable && e.up && e.held.is_some() && e.in_flight == 0 && e.trial_at <= now;
             let joins = |(group, like): (Group, usize)| group.joins(&self.endpoints[like].entry, &e.entry);
             let tried = request.tries.iter().any(|t| t.slot == slot);
             // Danger: marks may all be wrong, but who says it is full is; a call there costs it a handshake.
-            let open = (panic || trial || standing(e)) && e.full_until <= now;
+            let open = (stands || trial) && e.full_until <= now;
             if !permit.within.is_none_or(joins) || tried || !open {
                 continue;
             }
-            let (count, pressure) = (e.in_flight, self.pressure(e));
-            // A repeat is not kept waiting: there are few of them, and time has passed already.
-            let room = !request.tries.is_empty() || self.has_room(at, mean);
-            if room && self.cold_budget_allows(slot, request.work) {
-                lowest = lowest.min(count);
-                eligible.push((slot, pressure));
+            // Danger: repeats are many just where there is no room, and crowd out what would be in time.
+            if self.has_room(slot, part, mean) && self.cold_budget_allows(slot, request.work) {
+                lowest = lowest.min(self.endpoints[slot].in_flight);
+                eligible.push((slot, self.pressure(&self.endpoints[slot])));
             }
         }
         let limit = f64::from(lowest) + 1.0 + ALLOWANCE;
@@ -372,15 +372,15 @@
 
     /// Whether an endpoint has out as much as it answers in time (by Little's law, more only waits there).
     /// Danger: a server on which too much waits turns slower, stays so, and hands its load to the others.
-    fn has_room(&mut self, at: usize, mean: f64) -> bool {
+    fn has_room(&mut self, slot: usize, part: f64, mean: f64) -> bool {
         let aim = self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(0) as f64;
-        let (copies, e) = (f64::from(self.settings.group_size), &mut self.endpoints[self.order[at]]);
+        let (copies, e) = (f64::from(self.settings.group_size), &mut self.endpoints[slot]);
         let (seen, prior) = (e.rate.add(self.now, RATE_SPAN, 0.0), PRIOR * (1.0 - 1.0 / copies));
         let rate = (seen + prior) / (mean + prior).max(f64::MIN_POSITIVE) * mean / RATE_SPAN;
-        let sharers = if self.settings.tier == 0 { copies } else { 1.0 };
-        let room = (rate * aim * ROOM_SHARE).max(LEAST_ROOM.min(2.0 * LEAST_ROOM / sharers));
+        let shared = (2.0 / copies).max(1.0 / self.order.len() as f64).min(1.0);
+        let least = LEAST_ROOM * if self.settings.tier == 0 { shared } else { 1.0 };
         // Danger: part of a call, rounded up by each copy, is a call of all: it goes to those it is near.
-        f64::from(e.in_flight) + (1.0 - 1.0 / copies) * at as f64 / (self.order.len() as f64) < room
+        f64::from(e.in_flight) + (1.0 - 1.0 / copies) * part < (rate * aim * ROOM_SHARE).max(least)
     }
 
     // ---- cold budget ----
--- a/crates/lab/src/cli/mod.rs
+++ b/crates/lab/src/cli/mod.rs
@@ -1,6 +1,7 @@
 //! The command line of the lab. Each command is a struct with a `run` that gives the exit code.
 
 mod experiments;
+mod fleet_log;
 mod log;
 mod run;
 mod sidecars;
@@ -37,6 +38,7 @@
     Compare(experiments::Compare),
     Winners(experiments::Winners),
     Report(experiments::Report),
+    Count(fleet_log::Count),
     Fleet(sockets::Fleet),
     Load(sockets::Load),
     Demo(sockets::Demo),
@@ -55,6 +57,7 @@
         Command::Compare(command) => command.run(),
         Command::Winners(command) => command.run(),
         Command::Report(command) => command.run(&log),
+        Command::Count(command) => command.run(),
         Command::Fleet(command) => command.run(&log),
         Command::Load(command) => command.run(&log),
         Command::Demo(command) => command.run(&log),
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod demo;
 pub mod engine;
 pub mod experiment;
+pub mod fleet_log;
 pub mod mangler;
 pub mod model;
 pub mod policy;
