Share room and hold repeats to it only from the third copy on

Change (`has_room`): the least room, the prior and the parts of calls are those of pairs of copies at the first tier, so that one or two copies, and the copies of later tiers, have six calls each as before, and their repeats need no room.

--- a/crates/decisions/src/logic.rs
+++ b/crates/decisions/src/logic.rs
@@ -325,11 +325,9 @@
 
     // ---- the walk ----
 
-    /// Where a call goes: the first endpoint in the preferred order that is in good standing and not loaded
-    /// too much over the lowest count; where all are, the one loaded least.
+    /// Where a call goes: the first in good standing, not loaded too much over the lowest; else the least.
     fn walk(&mut self, request: &Open, permit: &Permit) -> Option<usize> {
-        let now = self.now;
-        let standing = |e: &Endpoint| e.up && e.held.is_none();
+        let (now, standing) = (self.now, |e: &Endpoint| e.up && e.held.is_none());
         let good = self.listed().filter(|e| standing(e)).count();
         // Danger: a surge or our own isolation fails checks everywhere, and the survivors drown.
         let panic = (good as f64) < PANIC_SHARE * self.order.len() as f64;
@@ -352,7 +350,7 @@
                 continue;
             }
             // Danger: repeats are many just where there is no room, and crowd out what would be in time.
-            if self.has_room(slot, part, mean) && self.cold_budget_allows(slot, request.work) {
+            if self.has_room(slot, part, mean, request) && self.cold_budget_allows(slot, request.work) {
                 lowest = lowest.min(self.endpoints[slot].in_flight);
                 eligible.push((slot, self.pressure(&self.endpoints[slot])));
             }
@@ -370,17 +368,18 @@
         (1.0 + f64::from(e.in_flight)) * slow * (1.0 + LONGEST_RATIO * blame * blame)
     }
 
-    /// Whether an endpoint has out as much as it answers in time (by Little's law, more only waits there).
-    /// Danger: a server on which too much waits turns slower, stays so, and hands its load to the others.
-    fn has_room(&mut self, slot: usize, part: f64, mean: f64) -> bool {
+    /// Whether an endpoint answers what is out in time. Danger: where too much waits it turns and stays slow.
+    fn has_room(&mut self, slot: usize, part: f64, mean: f64, request: &Open) -> bool {
         let aim = self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(0) as f64;
-        let (copies, e) = (f64::from(self.settings.group_size), &mut self.endpoints[slot]);
+        let copies =
+            f64::from(if self.settings.tier == 0 { self.settings.group_size.max(2) } else { 2 }) / 2.0;
+        let e = &mut self.endpoints[slot];
         let (seen, prior) = (e.rate.add(self.now, RATE_SPAN, 0.0), PRIOR * (1.0 - 1.0 / copies));
         let rate = (seen + prior) / (mean + prior).max(f64::MIN_POSITIVE) * mean / RATE_SPAN;
-        let shared = (2.0 / copies).max(1.0 / self.order.len() as f64).min(1.0);
-        let least = LEAST_ROOM * if self.settings.tier == 0 { shared } else { 1.0 };
-        // Danger: part of a call, rounded up by each copy, is a call of all: it goes to those it is near.
-        f64::from(e.in_flight) + (1.0 - 1.0 / copies) * part < (rate * aim * ROOM_SHARE).max(least)
+        let least = LEAST_ROOM * (1.0 / copies).max(1.0 / self.order.len() as f64).min(1.0);
+        // Danger: part of a call, rounded up by each copy, is a call of all.
+        let out = f64::from(e.in_flight) + (1.0 - 1.0 / copies) * part;
+        copies <= 1.0 && !request.tries.is_empty() || out < (rate * aim * ROOM_SHARE).max(least)
     }
 
     // ---- cold budget ----
