--- a/crates/proxy/src/answer.rs
+++ b/crates/proxy/src/answer.rs
@@ -5,6 +5,7 @@
 //! from ever being read as the next one's: such a connection is not fit to be used again. The heads and
 //! bodies are told apart by actix-http's own codec, so that awc never sees another border than this.
 
+use crate::stats::Stats;
 use crate::wire::Tap;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, MessageType};
 use bytes::BytesMut;
@@ -14,6 +15,7 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, ReadBuf};
@@ -41,6 +43,8 @@
     pub bodiless: Cell<bool>,
     /// The connection kept for this request had ended, and another came up in its place.
     pub replaced: Cell<bool>,
+    /// Where it counts that a request was written, once it was.
+    pub tries: RefCell<Option<Arc<Stats>>>,
     /// Largest body.
     limit: usize,
     /// More came than belongs to the answer.
@@ -88,6 +92,7 @@
             spoilt: flag(),
             bodiless: flag(),
             replaced: flag(),
+            tries: RefCell::default(),
             limit,
             excess: flag(),
             begun: Cell::new(None),
@@ -260,5 +265,7 @@
             (reading.phase, reading.length) = (Phase::Head, 0);
             self.begun.set(None);
         }
+        // A request that is not streamed goes out in one write, but for a few.
+        self.tries.take().iter().for_each(|stats| stats.tried());
     }
 }
--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -5,16 +5,22 @@
 use crate::config::{Changes, Config};
 use crate::descriptors::Descriptors;
 use crate::operators::Operators;
-use crate::{catalog, config_tool, listen, reload, shutdown, sidecar, tools};
+use crate::stats::Stats;
+use crate::{catalog, config_tool, console, listen, reload, shutdown, sidecar, tools};
 use argh::FromArgs;
 use slog::{Drain, Level, Logger, crit, info, o};
 use std::cell::RefCell;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::Notify;
-use tokio::sync::mpsc::Sender;
+use tokio::sync::mpsc::{Receiver, Sender};
+
+/// How old the figures of the pool and the readiness may be.
+const PUBLISHED: Duration = Duration::from_millis(100);
 
 /// A load-balancing proxy: one program in front of every tier.
 #[derive(FromArgs)]
@@ -161,15 +167,41 @@
     if done.is_ok() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
+/// Keeps the figures of the pool and the readiness up to date, for good.
+async fn publish(stats: Arc<Stats>, clusters: Rc<Clusters>, gate: Rc<listen::Gate>) {
+    let mut every = tokio::time::interval(PUBLISHED);
+    loop {
+        every.tick().await;
+        stats.publish(clusters.pool(), gate.is_ready());
+    }
+}
+
+/// Does what operators ask, for good.
+async fn by_hand(
+    mut changes: Receiver<console::Change>,
+    stats: Arc<Stats>,
+    clusters: Rc<Clusters>,
+    gate: Rc<listen::Gate>,
+) {
+    while let Some(console::Change { call, done }) = changes.recv().await {
+        let answer = clusters.by_hand(&call);
+        stats.publish(clusters.pool(), gate.is_ready());
+        let _ = done.send(answer); // nobody waits any more; it is done all the same
+    }
+}
+
 fn serve(config: Config) -> ExitCode {
     let (log, guard) = logger(config.name.clone());
     let done = actix_rt::System::new().block_on(async {
         let hang_up = reload::register()?; // before anything that takes time
-        let Config { listen, discovery, seed, sockets, known, origin, operators, .. } = config;
+        let Config { listen, discovery, console, seed, sockets, known, origin, operators, .. } = config;
         // Danger: unregistered, the signal ends the program. Without an operators' file it does, as ever.
         let ask = operators.is_some().then(|| signal(SignalKind::user_defined1())).transpose()?;
+        let console =
+            console.map(|at| console::bind(at).map_err(|e| format!("console: {at}: {e}"))).transpose()?;
         let listener = listen::bind(listen)?;
         info!(log, "listening"; "on" => %listen, "version" => env!("CARGO_PKG_VERSION"));
+        let stats = console.is_some().then(|| Arc::new(Stats::new(config.site.classes.names())));
         let (site, clock) = (Rc::new(RefCell::new(config.site)), Clock::start());
         let (routing, catalog) = match operators {
             Some(operators) => with_catalog(operators, seed, clock, &log).map(|(r, c)| (r, Some(c)))?,
@@ -177,7 +209,16 @@
         };
         let descriptors = Rc::new(Descriptors::new(sockets.backends));
         let discovery = Some(discovery);
-        let start = Start { site: site.clone(), clock, seed, descriptors, discovery, known, routing };
+        let start = Start {
+            site: site.clone(),
+            clock,
+            seed,
+            descriptors,
+            discovery,
+            known,
+            routing,
+            stats: stats.clone(),
+        };
         let clusters = Clusters::start(start, &log);
         if let (Some(catalog), Some(ask)) = (catalog, ask) {
             let asked = Rc::new(Notify::new());
@@ -185,7 +226,13 @@
             actix_rt::spawn(clusters.clone().keep_reporting(asked.clone()));
             actix_rt::spawn(pass_on(ask, asked, catalog.report));
         }
-        let gate = Rc::new(listen::Gate::new(clusters.routes.clone(), site, log.clone(), sockets));
+        let gate =
+            Rc::new(listen::Gate::new(clusters.routes.clone(), site, log.clone(), sockets, stats.clone()));
+        if let (Some(console), Some(stats)) = (console, stats) {
+            actix_rt::spawn(publish(stats.clone(), clusters.clone(), gate.clone()));
+            let changes = console::start(console, stats.clone(), log.clone())?;
+            actix_rt::spawn(by_hand(changes, stats, clusters.clone(), gate.clone()));
+        }
         let adopt = {
             let gate = gate.clone();
             move |changes: &Changes| {
--- a/crates/proxy/src/clusters.rs
+++ b/crates/proxy/src/clusters.rs
@@ -3,12 +3,14 @@
 use crate::catalog::{Numbered, Step};
 use crate::clock::Clock;
 use crate::config::Changes;
+use crate::console::call::{Call, No};
 use crate::descriptors::Descriptors;
 use crate::driver::{Driver, Shared};
 use crate::membership::News;
 use crate::operators::{Overrides, REGISTRY, Rules};
 use crate::platform::registry;
 use crate::stages::choose::Routes;
+use crate::stats::{Pool, Stats};
 use olivecart_decisions::{CellId, Discovery, EndpointId, Entry, KindId, Nanos, Settings, ZoneId};
 use olivecart_membership::{ClusterName, ClusterSettings};
 use olivecart_settings::Site;
@@ -19,6 +21,7 @@
 use std::hash::BuildHasher;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 use tokio::sync::mpsc::Receiver;
@@ -54,8 +57,8 @@
     /// decisions' interface (they say when to ask, and judge its silence), and without an operators' file it
     /// must stay what it is. So it is a cluster beside the catalog's, which rules can lead to.
     pub fn start(config: Start, log: &Logger) -> Rc<Clusters> {
-        let Start { site, clock, seed, descriptors, discovery, known, routing } = config;
-        let shared = Rc::new(Shared { clock, site, book: Rc::default(), descriptors });
+        let Start { site, clock, seed, descriptors, discovery, known, routing, stats } = config;
+        let shared = Rc::new(Shared { clock, site, book: Rc::default(), descriptors, stats });
         let Routing { named, rules, overrides } = routing;
         let at = |name: ClusterName| named.iter().position(|known| *known == name).unwrap_or(0);
         let rules = rules.map(at);
@@ -88,6 +91,31 @@
         self.registry.iter().for_each(|driver| driver.adopt(changes.discovery));
     }
 
+    fn drivers(&self) -> Vec<Rc<Driver>> {
+        self.registry.iter().chain(self.brought.borrow().values()).cloned().collect()
+    }
+
+    /// Does what an operator asks, in every cluster that has the backend.
+    ///
+    /// # Errors
+    /// None has it.
+    pub fn by_hand(&self, call: &Call) -> Result<(), No> {
+        let (target, done): (_, Vec<_>) = match call {
+            Call::Detach(target) => (target, self.drivers().iter().map(|d| d.detach(target)).collect()),
+            Call::Attach(target) => (target, self.drivers().iter().map(|d| d.attach(target)).collect()),
+            Call::Ready | Call::Vars => return Ok(()), // which change nothing
+        };
+        if done.iter().any(Result::is_ok) { Ok(()) } else { Err(No::Unknown(target.clone())) }
+    }
+
+    /// All lists' size, and how many of them are avoided now.
+    pub fn pool(&self) -> Pool {
+        self.drivers().iter().map(|driver| driver.pool()).fold(Pool::default(), |all, one| Pool {
+            size: all.size + one.size,
+            ejected: all.ejected + one.ejected,
+        })
+    }
+
     /// Does what the catalog says, for good.
     pub async fn follow(self: Rc<Self>, mut steps: Receiver<Step>) {
         while let Some(step) = steps.recv().await {
@@ -246,6 +274,8 @@
     pub known: Option<String>,
     /// Which request goes where.
     pub routing: Routing,
+    /// The figures, where anybody reads them.
+    pub stats: Option<Arc<Stats>>,
 }
 
 /// Which request goes where, and what clusters may use.
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -1,5 +1,6 @@
 //! The one place where configuration is read, given defaults and checked. Messages name the faulty key.
 
+use crate::console;
 use crate::operators::{self, Operators};
 use olivecart_decisions::ClassId;
 use olivecart_settings::{SettingsError, Site};
@@ -50,6 +51,7 @@
     name: Option<String>,
     listen: Option<String>,
     discovery: Option<String>,
+    console: Option<String>,
     seed: Option<String>,
     #[serde(default)]
     limits: Limits,
@@ -89,6 +91,8 @@
     pub listen: SocketAddr,
     /// Discovery's address.
     pub discovery: SocketAddr,
+    /// Where operators call; nowhere unless it is given.
+    pub console: Option<SocketAddr>,
     /// Feeds all chance.
     pub seed: u64,
     /// Shares of the descriptor limit.
@@ -118,6 +122,7 @@
     name: Option<String>,
     listen: Option<String>,
     discovery: Option<String>,
+    console: Option<String>,
     settings: Option<String>,
 }
 
@@ -150,6 +155,7 @@
         let differs = [
             ("name", said.name != self.said.name),
             ("listen", new.listen != self.listen),
+            ("console", said.console != self.said.console),
             ("settings", said.settings != self.said.settings),
         ];
         let at_start = differs.into_iter().filter_map(|(key, differs)| differs.then_some(key)).collect();
@@ -176,6 +182,7 @@
             name: self.name.clone(),
             listen: self.listen.clone(),
             discovery: self.discovery.clone(),
+            console: self.console.clone(),
             settings: self.settings.map(|s| s.get().to_owned()),
         }
     }
@@ -205,12 +212,15 @@
         let listen = address(("EDGE_LISTEN", variable("EDGE_LISTEN")), ("listen", file.listen))?;
         let discovery =
             address(("EDGE_DISCOVERY", variable("EDGE_DISCOVERY")), ("discovery", file.discovery))?;
+        let console = (variable("EDGE_CONSOLE"), file.console);
+        let console = optional(("EDGE_CONSOLE", console.0), ("console", console.1))?;
         Ok(Config {
             name: variable("EDGE_NAME").or(file.name).unwrap_or_else(|| "olivecart".into()),
             listen,
             discovery,
+            console,
             seed: seed(file.seed)?,
-            sockets: share_out(&file.limits)?,
+            sockets: share_out(&file.limits, if console.is_some() { console::CONNECTIONS } else { 0 })?,
             known: file.known.map(|k| k.get().to_owned()),
             site: Site::read(settings.get())?,
             operators: None,
@@ -225,6 +235,7 @@
         writeln!(f, "name       {}", self.name)?;
         writeln!(f, "listen     {}", self.listen)?;
         writeln!(f, "discovery  {} ({:?})", self.discovery, s.discovery)?;
+        self.console.iter().try_for_each(|console| writeln!(f, "console    {console}"))?;
         writeln!(
             f,
             "sockets    {} for clients, {} for backends",
@@ -255,6 +266,10 @@
     value.parse().map_err(|_| ConfigError::Value(name, value, "an address and port"))
 }
 
+fn optional(variable: Named, key: Named) -> Result<Option<SocketAddr>, ConfigError> {
+    if variable.1.is_none() && key.1.is_none() { Ok(None) } else { address(variable, key).map(Some) }
+}
+
 /// The seed is sixteen hexadecimal digits; without one, chance is fed from the clock.
 fn seed(value: Option<String>) -> Result<u64, ConfigError> {
     let Some(value) = value else { return Ok(crate::clock::Clock::start().now()) };
@@ -263,13 +278,14 @@
 
 /// Half and half: each request that a client waits for has one attempt out at most, so that a backend's
 /// connection is there for every client's; the idle ones beyond that are let go as they are in the way.
-fn share_out(limits: &Limits) -> Result<Sockets, ConfigError> {
+/// `console`: those that are set aside for operators' calls.
+fn share_out(limits: &Limits, console: usize) -> Result<Sockets, ConfigError> {
     let bad = |what| Err(ConfigError::Value("limits.sockets", limits.sockets.to_string(), what));
     if limits.memory_mb < 32.0 {
         return Err(ConfigError::Value("limits.memory_mb", limits.memory_mb.to_string(), "32 or more"));
     }
-    match limits.sockets.checked_sub(OWN_SOCKETS) {
+    match limits.sockets.checked_sub(OWN_SOCKETS + console) {
         Some(left) if left >= 32 => Ok(Sockets { clients: left / 2, backends: left - left / 2 }),
-        _ => bad("enough: 80 at least"),
+        _ => bad("enough: 80 at least, or 104 with a console"),
     }
 }
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -8,12 +8,14 @@
 use crate::discovery::{Discovery, Subscriber};
 use crate::invariant::{must, take_broken};
 use crate::membership::{Endpoint, News};
+use crate::overlay::{Overlay, Unknown};
 use crate::stages::book::Book;
 use crate::stages::context::{Context, Decisions, Limits};
 use crate::stages::{route, send};
+use crate::stats::{Pool, Stats};
 use crate::trace;
 use olivecart_decisions::{
-    Action, Balancer, Discovery as Mode, Entry, Event, ListChange, Nanos, Settings, State, Timer,
+    Action, Balancer, Discovery as Mode, Entry, Event, ListChange, Nanos, Settings, Standing, State, Timer,
 };
 use olivecart_settings::{Listed, Site};
 use slog::{Logger, debug, error, info};
@@ -22,6 +24,7 @@
 use std::net::SocketAddr;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::{Rc, Weak};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
@@ -40,6 +43,8 @@
     pub book: Rc<Book>,
     /// The budget for connections.
     pub descriptors: Rc<Descriptors>,
+    /// The figures, where anybody reads them.
+    pub stats: Option<Arc<Stats>>,
 }
 
 /// The decisions of one cluster and all that they act on.
@@ -48,6 +53,8 @@
     pub context: Rc<Context>,
     shared: Rc<Shared>,
     balancer: RefCell<Balancer>,
+    /// What operators said over the list.
+    overlay: RefCell<Overlay>,
     /// Where the platform's own cluster comes from.
     discovery: Option<Discovery>,
     events: RefCell<VecDeque<Event>>,
@@ -76,8 +83,15 @@
             Backends::new(connect_timeout, site.idle_close, shared.descriptors.clone(), log.clone());
         let limits = Limits { open_requests: site.most_held, second_copies: settings.limits.second_copies };
         let driver = Rc::new_cyclic(|this: &Weak<Driver>| Driver {
-            context: Rc::new(Context::new(this.clone(), shared.book.clone(), backends, limits)),
+            context: Rc::new(Context::new(
+                this.clone(),
+                shared.book.clone(),
+                backends,
+                limits,
+                shared.stats.clone(),
+            )),
             shared: shared.clone(),
+            overlay: RefCell::default(),
             balancer: RefCell::new(Balancer::new(settings, seed, shared.clock.now())),
             discovery: discovery.map(|at| Discovery::new(at, this.clone(), log.clone())),
             events: RefCell::default(),
@@ -112,11 +126,13 @@
         debug!(self.log, "list"; "version" => version, "full" => news.full, "entries" => named);
         if news.full {
             self.context.backends.forget_all();
+            self.overlay.borrow_mut().whole_list_follows();
         }
         self.discovery.iter().for_each(|discovery| discovery.holds(version));
         let mut entries = Vec::with_capacity(named);
         for endpoint in &news.endpoints {
             let entry = numbered(&mut self.shared.site.borrow_mut(), endpoint);
+            let entry = self.overlay.borrow_mut().pass(entry, endpoint.addr);
             trace::listed(&self.log, &entry);
             self.place(&entry, endpoint.addr);
             entries.push(entry);
@@ -127,6 +143,7 @@
     /// Takes in changed endpoints in the numbers of whoever brings them, and tells the decisions.
     pub fn change(&self, changed: impl Iterator<Item = (Entry, Option<SocketAddr>)>) {
         let noted = |(entry, addr): (Entry, _)| {
+            let entry = self.overlay.borrow_mut().pass(entry, addr);
             self.place(&entry, addr);
             entry
         };
@@ -137,6 +154,51 @@
         self.context.backends.place(entry.id, addr, entry.started, entry.state == State::Ready);
     }
 
+    /// Leaves an endpoint out by hand; the decisions know of it on return.
+    ///
+    /// # Errors
+    /// It is not of this cluster.
+    pub fn detach(&self, name: &str) -> Result<(), Unknown> {
+        let changed = self.overlay.borrow_mut().detach(name)?;
+        self.change_one(changed);
+        Ok(())
+    }
+
+    /// Puts an endpoint back by hand, and checks it at once.
+    ///
+    /// # Errors
+    /// It is not of this cluster.
+    pub fn attach(&self, name: &str) -> Result<(), Unknown> {
+        let changed = self.overlay.borrow_mut().attach(name, self.shared.clock.now())?;
+        let takes =
+            changed.as_ref().filter(|(entry, _)| entry.state == State::Ready).map(|(entry, _)| entry.id);
+        self.change_one(changed);
+        if let Some(endpoint) = takes.filter(|_| self.shared.site.borrow().settings.limits.probes) {
+            actix_rt::spawn(send::probe(self.context.clone(), endpoint));
+        }
+        Ok(())
+    }
+
+    fn change_one(&self, changed: Option<(Entry, Option<SocketAddr>)>) {
+        if let Some((entry, addr)) = changed {
+            trace::listed(&self.log, &entry);
+            self.place(&entry, addr);
+            self.tell(Event::List(ListChange::Delta(vec![entry])));
+        }
+    }
+
+    /// The list's size, and how many of it are avoided now.
+    pub fn pool(&self) -> Pool {
+        let balancer = self.balancer.borrow();
+        let avoids = |endpoint| {
+            matches!(
+                balancer.standing(endpoint),
+                Standing::Withdrawn | Standing::Down | Standing::Held { .. }
+            )
+        };
+        self.overlay.borrow().pool(avoids)
+    }
+
     /// The cluster is no more: nothing new goes to its endpoints. What was taken in finishes, or fails by its
     /// own deadline; then the tasks end, and nothing of the cluster is left.
     pub fn retire(&self) {
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -1,12 +1,13 @@
 //! The clients' side: accepts connections, speaks HTTP on them, and takes each request through the stages.
 
-use crate::call::Verdict;
+use crate::call::{Call, Verdict};
 use crate::clients::{Client, Clients, Reader};
 use crate::config::Sockets;
 use crate::platform::client;
 use crate::stages::admit::{self, NotAdmitted};
 use crate::stages::choose::Routes;
 use crate::stages::{intake, relay};
+use crate::stats::{Ended, Stats};
 use crate::wire::Wire;
 use actix_http::{Extensions, HttpService, KeepAlive, Request, Response};
 use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
@@ -18,6 +19,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::watch;
@@ -43,15 +45,23 @@
     /// Once an end is planned: by when all must be answered.
     leaving: Cell<Option<Instant>>,
     closing: watch::Sender<bool>,
+    /// The figures, where anybody reads them.
+    stats: Option<Arc<Stats>>,
 }
 
 impl Gate {
     /// An open gate. `site` has the names that requests may use.
-    pub fn new(routes: Rc<Routes>, site: Rc<RefCell<Site>>, log: Logger, sockets: Sockets) -> Gate {
+    pub fn new(
+        routes: Rc<Routes>,
+        site: Rc<RefCell<Site>>,
+        log: Logger,
+        sockets: Sockets,
+        stats: Option<Arc<Stats>>,
+    ) -> Gate {
         let (clients, last_accepted) = (Rc::default(), Cell::new(Instant::now()));
         let (closing, leaving) = (watch::channel(false).0, Cell::new(None));
         let sockets = Cell::new(sockets);
-        Gate { routes, site, log, sockets, clients, last_accepted, leaving, closing }
+        Gate { routes, site, log, sockets, clients, last_accepted, leaving, closing, stats }
     }
 
     /// Sees to it that there are descriptors for one more connection. Danger: they run out, and with them
@@ -77,6 +87,11 @@
         self.leaving.set(Some(by));
     }
 
+    /// Whether requests are welcome: there is somebody to send them to, and no end is planned.
+    pub fn is_ready(&self) -> bool {
+        self.routes.any_takes_requests() && self.leaving.get().is_none()
+    }
+
     /// Answers carry `Connection: close` from now on, and idle connections are closed.
     pub fn close(&self) {
         self.closing.send_replace(true);
@@ -158,7 +173,7 @@
         return Ok(client::refusal(Duration::ZERO)); // on_connect_ext leaves none without
     };
     let response = match request.path() {
-        client::READY => Ok(client::health(gate.routes.any_takes_requests() && gate.leaving.get().is_none())),
+        client::READY => Ok(client::health(gate.is_ready())),
         client::LIVE => Ok(client::health(true)),
         _ => through_the_stages(&gate, request, &client).await,
     };
@@ -179,7 +194,21 @@
     request: Request,
     client: &Rc<Client>,
 ) -> Result<Response<Bytes>, client::Reject> {
-    let mut call = intake::take(request, &gate.site).await?;
+    let call = intake::take(request, &gate.site).await?;
+    let mut taken = gate.stats.as_ref().map(|stats| stats.take(usize::from(call.class.0)));
+    let answer = put(gate, client, call).await;
+    if let (Some(taken), Ok(answer)) = (&mut taken, &answer) {
+        taken.ends(match answer.status().as_u16() {
+            200 => Ended::Ok,
+            429 | 503 => Ended::Shed,
+            _ => Ended::Error,
+        });
+    }
+    answer
+}
+
+/// Puts a call to its cluster, and has the answer.
+async fn put(gate: &Gate, client: &Rc<Client>, mut call: Call) -> Result<Response<Bytes>, client::Reject> {
     // Danger: an end that comes before the answer, which is then lost.
     call.deadline = gate.leaving.get().map_or(call.deadline, |by| call.deadline.min(by));
     client.in_work();
--- /dev/null
+++ b/crates/proxy/src/overlay.rs
@@ -0,0 +1,152 @@
+//! Endpoints out by hand: a layer between the list, wherever it comes from, and the decisions.
+//!
+//! One that is out counts as draining, whatever the list says of it. One that was put back counts as started at that
+//! moment, since operators restart what they take out; or when the list says, if that is later. The decisions learn of
+//! either as of any change of the list. No I/O and no clock here.
+
+use crate::stats::Pool;
+use olivecart_decisions::{EndpointId, Entry, Nanos, State};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Most endpoints that are out, or remembered as put back. Each was in the list when it was taken out, and those of
+/// long ago that nobody lists any more go first.
+const MOST: usize = 4096;
+
+/// An endpoint as the list describes it, and where it is.
+pub type Place = (Entry, Option<SocketAddr>);
+
+/// What the list says, and what operators said over it.
+#[derive(Default)]
+pub struct Overlay {
+    /// What is listed and not gone.
+    listed: BTreeMap<Rc<str>, Place>,
+    out: BTreeSet<Rc<str>>,
+    /// When those were put back that had been out.
+    back: BTreeMap<Rc<str>, Nanos>,
+}
+
+/// No list names the endpoint, and it is not out.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Unknown;
+
+impl Overlay {
+    /// A whole list follows: what it does not name is gone.
+    pub fn whole_list_follows(&mut self) {
+        self.listed.clear();
+    }
+
+    /// Takes in what the list says of an endpoint, and says what holds.
+    pub fn pass(&mut self, entry: Entry, addr: Option<SocketAddr>) -> Entry {
+        if entry.state == State::Gone {
+            self.listed.remove(&entry.name);
+        } else {
+            self.listed.insert(entry.name.clone(), (entry.clone(), addr));
+        }
+        self.amended(entry)
+    }
+
+    /// Leaves an endpoint out. What holds of it now, if that is something else than before.
+    ///
+    /// # Errors
+    /// Nobody has that name.
+    pub fn detach(&mut self, name: &str) -> Result<Option<Place>, Unknown> {
+        if self.out.contains(name) {
+            return Ok(None);
+        }
+        let (name, place) = self.listed.get_key_value(name).ok_or(Unknown)?;
+        let (name, (entry, addr)) = (name.clone(), place.clone());
+        self.back.remove(&name);
+        self.out.insert(name);
+        self.bound();
+        Ok(Some((self.amended(entry), addr)))
+    }
+
+    /// Puts an endpoint back. What holds of it now, if that is something else than before; also where no list names
+    /// it for now, so that it comes back cold when one does.
+    ///
+    /// # Errors
+    /// Nobody has that name.
+    pub fn attach(&mut self, name: &str, now: Nanos) -> Result<Option<Place>, Unknown> {
+        if !self.out.remove(name) {
+            return if self.listed.contains_key(name) { Ok(None) } else { Err(Unknown) };
+        }
+        self.back.insert(name.into(), now);
+        self.bound();
+        let place = self.listed.get(name).cloned();
+        Ok(place.map(|(entry, addr)| (self.amended(entry), addr)))
+    }
+
+    /// The list's size, and how many of it are avoided: by hand, by the list's own word, or by the decisions.
+    pub fn pool(&self, avoids: impl Fn(EndpointId) -> bool) -> Pool {
+        let avoided = |(entry, _): &&Place| {
+            entry.state != State::Ready || self.out.contains(&entry.name) || avoids(entry.id)
+        };
+        Pool { size: self.listed.len(), ejected: self.listed.values().filter(avoided).count() }
+    }
+
+    fn amended(&self, mut entry: Entry) -> Entry {
+        if entry.state == State::Ready && self.out.contains(&entry.name) {
+            entry.state = State::Draining;
+        }
+        // Danger: each list says anew when it started, and an older time would make it a warm one again.
+        entry.started = entry.started.max(self.back.get(&entry.name).copied());
+        entry
+    }
+
+    fn bound(&mut self) {
+        let listed = &self.listed;
+        if self.out.len() > MOST {
+            self.out.retain(|name| listed.contains_key(name));
+        }
+        if self.back.len() > MOST {
+            self.back.retain(|name, _| listed.contains_key(name));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn entry(name: &str, state: State, started: Option<Nanos>) -> Entry {
+        Entry { state, started, ..Entry::ready(EndpointId(0), name) }
+    }
+
+    #[test]
+    fn whatever_lists_say_one_that_is_out_drains_until_it_is_put_back_and_is_cold_then() {
+        let mut overlay = Overlay::default();
+        overlay.pass(entry("a", State::Ready, Some(5)), None);
+        assert_eq!(overlay.detach("b"), Err(Unknown));
+        let (out, _) = overlay.detach("a").expect("known").expect("a change");
+        assert_eq!(out.state, State::Draining);
+        assert_eq!(overlay.detach("a"), Ok(None), "once more changes nothing");
+        overlay.whole_list_follows();
+        let says = |overlay: &mut Overlay, state, started| {
+            let entry = overlay.pass(entry("a", state, started), None);
+            (entry.state, entry.started)
+        };
+        assert_eq!(says(&mut overlay, State::Ready, Some(7)).0, State::Draining, "restarted");
+        assert_eq!(says(&mut overlay, State::Gone, None).0, State::Gone);
+        assert_eq!(overlay.attach("a", 100), Ok(None), "not listed, and yet it may be put back");
+        assert_eq!(overlay.attach("a", 200), Err(Unknown), "it is back, and nobody lists it");
+        assert_eq!(says(&mut overlay, State::Ready, Some(9)), (State::Ready, Some(100)));
+        assert_eq!(overlay.attach("a", 200), Ok(None), "one call back is enough, and no second start");
+        assert_eq!(says(&mut overlay, State::Ready, Some(300)), (State::Ready, Some(300)), "a later start");
+        assert_eq!(says(&mut overlay, State::Draining, None), (State::Draining, Some(100)));
+    }
+
+    #[test]
+    fn the_pool_is_what_is_listed_and_avoided_is_who_is_out_for_any_reason() {
+        let mut overlay = Overlay::default();
+        for (id, name, state) in
+            [(0, "a", State::Ready), (1, "b", State::Ready), (2, "c", State::Draining), (3, "d", State::Gone)]
+        {
+            overlay.pass(Entry { state, ..Entry::ready(EndpointId(id), name) }, None);
+        }
+        assert_eq!(overlay.pool(|_| false), Pool { size: 3, ejected: 1 });
+        overlay.detach("a").expect("known");
+        assert_eq!(overlay.pool(|id| id == EndpointId(1)), Pool { size: 3, ejected: 3 });
+    }
+}
--- a/crates/proxy/src/sidecar/mod.rs
+++ b/crates/proxy/src/sidecar/mod.rs
@@ -243,11 +243,12 @@
                 discovery: None,
                 known: None,
                 routing,
+                stats: None,
             },
             &log,
         );
         let sockets = Sockets { clients: self.clients, backends: 0 };
-        let gate = Rc::new(Gate::new(clusters.routes.clone(), site, log, sockets));
+        let gate = Rc::new(Gate::new(clusters.routes.clone(), site, log, sockets, None));
         Side { name, listener, gate, clusters }
     }
 }
--- a/crates/proxy/src/stages/admit.rs
+++ b/crates/proxy/src/stages/admit.rs
@@ -97,7 +97,7 @@
         let log = slog::Logger::root(slog::Discard, slog::o!());
         let backends = Backends::new(Duration::from_secs(1), Duration::from_secs(1), descriptors, log);
         let limits = Limits { open_requests, second_copies: false };
-        Rc::new(Context::new(Rc::downgrade(&decisions), Rc::default(), backends, limits))
+        Rc::new(Context::new(Rc::downgrade(&decisions), Rc::default(), backends, limits, None))
     }
 
     fn call(id: &'static str) -> Call {
--- a/crates/proxy/src/stages/context.rs
+++ b/crates/proxy/src/stages/context.rs
@@ -2,9 +2,11 @@
 
 use super::book::Book;
 use crate::backends::Backends;
+use crate::stats::Stats;
 use olivecart_decisions::Event;
 use std::cell::Cell;
 use std::rc::{Rc, Weak};
+use std::sync::Arc;
 
 /// Whoever runs the decisions.
 pub trait Decisions {
@@ -30,6 +32,8 @@
     pub backends: Backends,
     /// Limits from the settings.
     pub limits: Limits,
+    /// The figures, where anybody reads them.
+    pub stats: Option<Arc<Stats>>,
     /// Requests that are open here, and the most.
     open: Cell<usize>,
     most: Cell<usize>,
@@ -44,9 +48,10 @@
         book: Rc<Book>,
         backends: Backends,
         limits: Limits,
+        stats: Option<Arc<Stats>>,
     ) -> Context {
         let (open, most) = (Cell::new(0), Cell::new(usize::MAX));
-        Context { book, backends, limits, open, most, decisions }
+        Context { book, backends, limits, stats, open, most, decisions }
     }
 
     /// Another limit to the requests that are open here holds from now on.
--- a/crates/proxy/src/stages/send.rs
+++ b/crates/proxy/src/stages/send.rs
@@ -89,6 +89,7 @@
     lease.seen.bodiless.set(payload.method == Method::HEAD);
     let sent = if bodiless { request.send() } else { request.send_body(payload.body.clone()) };
     let (seen, kept) = (lease.seen.clone(), lease.kept);
+    seen.tries.replace(context.stats.clone());
     let received = whole(context, lease, &payload.method, sent).await;
     let replaced = seen.replaced.take();
     let broke = matches!(received, Err(Outcome::Reset)) && kept && !replaced;
@@ -184,6 +185,7 @@
     let asked = async {
         let Some(lease) = lease else { return Outcome::ConnectFailed.into() };
         lease.seen.bodiless.set(false);
+        lease.seen.tries.take(); // a probe is no attempt
         let sent = backend::probe(&lease.client, lease.addr).send();
         match whole(&context, lease, &Method::GET, sent).await {
             Ok((head, _)) => {
--- /dev/null
+++ b/crates/proxy/tests/console.rs
@@ -0,0 +1,161 @@
+//! Where operators call: what it answers, what it counts, and backends out by hand.
+
+mod scenario;
+use scenario::{SETTINGS, config_file, free_port, olivecart, play, play_with};
+use std::io::{Read, Write};
+use std::net::TcpStream;
+
+#[test]
+fn every_end_of_a_request_is_counted_once() {
+    // 409, an unknown class, and a client that leaves; 200, 404, 500 of a class that can't be repeated elsewhere.
+    play(
+        "console wait ok.view=0 errors.book=0 tries=0 active=0 pool_size=2 pool_ejected=0
+         c send GET /1
+         a expect GET /1
+         console wait active=1 tries=1 ok.view=0
+         a send 200 | yes
+         c expect 200 | yes
+         console wait active=0 tries=1 ok.view=1
+         c send GET /2
+         a expect GET /2
+         a send 404 | no
+         c expect 404 | no
+         c send GET /3 X-Class=steal
+         c expect 400
+         c2 send GET /4
+         a expect GET /4
+         c2 close
+         a expect closed
+         console wait active=0 tries=3 ok.view=1 errors.view=2 shed.view=0
+         c3 send POST /5 X-Class=book | x
+         a expect POST /5 | x
+         a send 500 | broken
+         c3 expect 502
+         console wait active=0 ok.book=0 errors.book=1 tries=4",
+    );
+}
+
+#[test]
+fn a_refusal_is_counted_as_one_and_readiness_is_told() {
+    play_with(
+        &["a"],
+        SETTINGS,
+        "console expect 200 GET /_ready
+         console expect 200 POST /_backends/detach {\"target\":\"a-0\"}
+         console wait pool_size=1 pool_ejected=1
+         console expect 503 GET /_ready
+         c send GET /1 X-Deadline=100m
+         c expect 503 Retry-After=*
+         console wait shed.view=1 active=0 tries=0
+         console expect 200 POST /_backends/attach {\"target\":\"a-0\"}
+         console wait pool_ejected=0
+         console expect 200 GET /_ready",
+    );
+}
+
+#[test]
+fn one_out_by_hand_gets_nothing_whatever_is_listed_and_is_used_again_once_it_is_back() {
+    let server = |name: &str, started: u64| {
+        format!(
+            "{{\"id\":\"{name}-0\",\"addr\":\"@{name}\",\"state\":\"ready\",\"zone\":\"z\",\"started_ms\":{started}}}"
+        )
+    };
+    let lists = [
+        format!("{{\"version\":42,\"full\":false,\"servers\":[{}]}}", server("a", 5)),
+        "{\"version\":43,\"full\":false,\"servers\":[{\"id\":\"a-0\",\"state\":\"gone\"}]}".to_owned(),
+        format!("{{\"version\":44,\"full\":true,\"servers\":[{},{}]}}", server("a", 0), server("b", 0)),
+    ];
+    let listed: String = lists
+        .iter()
+        .enumerate()
+        .map(|(at, list)| {
+            format!(
+                "discovery send chunk {list}\\n
+                 console wait pool_size={size} pool_ejected={out}
+                 c send GET /{at}
+                 b expect GET /{at}
+                 b send 200 | b
+                 c expect 200 | b\n",
+                size = if at == 1 { 1 } else { 2 },
+                out = if at == 1 { 0 } else { 1 },
+            )
+        })
+        .collect();
+    play(&format!(
+        "discovery expect GET /registry/instances?watch=1&after=41
+         discovery send raw HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n
+         c send GET /first
+         a expect GET /first
+         a send 200 | a
+         c expect 200 | a
+         console expect 200 POST /_backends/detach {{\"target\":\"a-0\"}}
+         console expect 200 POST /_backends/detach {{\"target\":\"a-0\"}}
+         {listed}
+         file send discovery=@moved
+         proxy send HUP
+         proxy expect log configuration read again
+         c send GET /hup
+         b expect GET /hup
+         b send 200 | b
+         c expect 200 | b
+         console expect 200 POST /_backends/attach {{\"target\":\"a-0\"}}
+         console wait pool_size=2 pool_ejected=0
+         console expect 200 POST /_backends/detach {{\"target\":\"b-0\"}}
+         c send GET /back
+         a expect GET /back
+         a send 200 | a
+         c expect 200 | a"
+    ));
+}
+
+#[test]
+fn bad_calls_get_a_no_and_change_nothing() {
+    play(
+        "console expect 404 GET /
+         console expect 405 POST /_vars
+         console expect 405 GET /_backends/detach
+         console expect 400 POST /_backends/detach
+         console expect 400 POST /_backends/detach {\"target\":
+         console expect 400 POST /_backends/attach {\"target\":[\"a-0\"]}
+         console expect 404 POST /_backends/detach {\"target\":\"a\"}
+         console expect 404 POST /_backends/attach {\"target\":\"nobody\"}
+         console expect 200 POST /_backends/attach {\"target\":\"b-0\"}
+         console wait pool_size=2 pool_ejected=0 errors.view=0 active=0",
+    );
+}
+
+#[test]
+fn callers_that_hold_their_connection_keep_nobody_out() {
+    let (listen, discovery, console) = (free_port(), free_port(), free_port());
+    let config = config_file(&format!(
+        r#"{{"listen":"{listen}","discovery":"{discovery}","console":"{console}","settings":{SETTINGS}}}"#
+    ));
+    let mut program =
+        olivecart("serve", &config).stderr(std::process::Stdio::null()).spawn().expect("it starts");
+    let connect = || loop {
+        match TcpStream::connect(console) {
+            Ok(stream) => return stream,
+            Err(_) => std::thread::yield_now(), // not up yet
+        }
+    };
+    let idle: Vec<TcpStream> = (0..200)
+        .map(|n| {
+            let mut stream = connect();
+            let _ = stream.write_all(if n % 2 == 0 { b"GET /_va" } else { b"" }); // cut off already, some of them
+            stream
+        })
+        .collect();
+    for _ in 0..5 {
+        let mut stream = connect();
+        stream.write_all(b"GET /_vars HTTP/1.1\r\nHost: p\r\n\r\n").expect("written");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).expect("an answer");
+        assert!(
+            answer.starts_with("HTTP/1.1 200 OK\r\n") && answer.ends_with("edge.pool_ejected=0\n"),
+            "{answer}"
+        );
+    }
+    drop(idle);
+    program.kill().expect("it runs");
+    program.wait().expect("it ends");
+}
--- a/crates/proxy/tests/scenario/mod.rs
+++ b/crates/proxy/tests/scenario/mod.rs
@@ -14,6 +14,8 @@
 //! plane list cart=a,b/draining             a control plane over xDS has these clusters anew; `cluster NAME` one
 //!                                          without endpoints; `remove NAME`; `drop` breaks its streams, `restart`
 //!                                          with other clusters too; `expect TEXT .. TEXT` waits for its journal
+//! console expect 200 POST /path BODY       an operator's call and the status of its answer
+//! console wait NAME=VALUE NAME=VALUE       waits until all these figures are told
 //! ```
 //!
 //! Clients are `c`, `c2`...; backends `a` and `b` answer probes by themselves, `a` is the preferred one, and a
@@ -64,7 +66,8 @@
 }
 
 fn play_all(known: &[&str], settings: &str, operators: Option<&str>, text: &str) {
-    let mut stage = Stage::set(known, settings, operators);
+    let console = text.contains("console ").then(free_port);
+    let mut stage = Stage::set(known, settings, operators, console);
     for line in text.lines().map(str::trim).filter(|l| !l.is_empty()) {
         if let Err(what) = stage.step(line) {
             panic!("at `{line}`: {what}");
@@ -254,6 +257,8 @@
     /// There if the operators' file names it.
     plane: Option<Plane>,
     log: Receiver<String>,
+    /// There if the scenario has operators that call.
+    console: Option<SocketAddr>,
 }
 
 /// Where nobody listens: the port was free a moment ago.
@@ -293,14 +298,14 @@
 pub fn olivecart(command: &str, config: &Path) -> Command {
     let mut program = Command::new(env!("CARGO_BIN_EXE_olivecart"));
     program.arg(command).env("EDGE_CONFIG", config);
-    ["EDGE_NAME", "EDGE_LISTEN", "EDGE_DISCOVERY", "OLIVECART_CLUSTERS"]
+    ["EDGE_NAME", "EDGE_LISTEN", "EDGE_DISCOVERY", "EDGE_CONSOLE", "OLIVECART_CLUSTERS"]
         .iter()
         .for_each(|name| _ = program.env_remove(name));
     program
 }
 
 impl Stage {
-    fn set(known: &[&str], settings: &str, operators: Option<&str>) -> Stage {
+    fn set(known: &[&str], settings: &str, operators: Option<&str>, console: Option<SocketAddr>) -> Stage {
         let names = ["a", "b", "d", "e", "discovery", "moved"];
         let peers: HashMap<_, _> = names.iter().map(|n| (n.to_string(), Peer::new())).collect();
         let listen = free_port();
@@ -317,6 +322,7 @@
         ));
         let mut program = olivecart("serve", &config);
         program.env("EDGE_DISCOVERY", peers["discovery"].addr.to_string()).stderr(Stdio::piped());
+        console.iter().for_each(|console| _ = program.env("EDGE_CONSOLE", console.to_string()));
         let disk = fresh("");
         let names_plane = operators.is_some_and(|text| text.contains("@plane"));
         let plane = names_plane.then(|| Plane::start(Resources::default()));
@@ -332,7 +338,17 @@
         let said = BufReader::new(program.stderr.take().expect("piped"));
         // Read to the end, whether or not anybody asks for it.
         std::thread::spawn(move || said.lines().map_while(Result::ok).for_each(|l| _ = lines.send(l)));
-        let stage = Stage { program, listen, peers, clients: HashMap::new(), file: config, disk, plane, log };
+        let stage = Stage {
+            program,
+            listen,
+            peers,
+            clients: HashMap::new(),
+            file: config,
+            disk,
+            plane,
+            log,
+            console,
+        };
         stage.answers("/health/live", "200").expect("it starts");
         stage
     }
@@ -382,6 +398,7 @@
                 };
                 std::fs::write(&self.file, text).map_err(|e| e.to_string())
             }
+            ("console", _, _) => self.operator(verb, rest),
             ("disk", _, _) => self.disk(verb, rest),
             ("plane", _, _) => {
                 let Stage { plane, peers, .. } = self;
@@ -413,6 +430,45 @@
         self.peers.iter().fold(text.to_owned(), at)
     }
 
+    fn operator(&self, verb: &str, rest: &str) -> Result<(), String> {
+        let call = |method: &str, path: &str, body: &str| {
+            let mut stream =
+                TcpStream::connect(self.console.ok_or("no console")?).map_err(|e| e.to_string())?;
+            let length = body.len();
+            write!(stream, "{method} {path} HTTP/1.1\r\nHost: p\r\nContent-Length: {length}\r\n\r\n{body}")
+                .map_err(|e| e.to_string())?;
+            let answer = read_message(&mut BufReader::new(stream)).map_err(|e| e.to_string())?;
+            answer.ok_or_else(|| "no answer".to_owned())
+        };
+        let words: Vec<&str> = rest.splitn(4, ' ').collect();
+        match (verb, &words[..]) {
+            ("expect", [status, method, path, body @ ..]) => {
+                let answer = call(method, path, body.first().unwrap_or(&""))?;
+                if answer.first.starts_with(status) {
+                    Ok(())
+                } else {
+                    Err(format!("got {} | {}", answer.first, answer.body))
+                }
+            }
+            ("wait", _) => {
+                let end = Instant::now() + NEVER;
+                loop {
+                    let told = call("GET", "/_vars", "")?.body;
+                    let told: Vec<&str> = told.lines().collect();
+                    if rest.split_whitespace().all(|figure| told.contains(&format!("edge.{figure}").as_str()))
+                    {
+                        return Ok(());
+                    }
+                    if Instant::now() > end {
+                        return Err(format!("never; at last {told:?}"));
+                    }
+                    std::thread::yield_now();
+                }
+            }
+            _ => Err("no such step".into()),
+        }
+    }
+
     fn disk(&mut self, verb: &str, rest: &str) -> Result<(), String> {
         let (name, what) = rest.split_once(' ').unwrap_or((rest, ""));
         let path = self.disk.join(name);
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -44,6 +44,11 @@
         self.0.get(name).copied()
     }
 
+    /// All names, in the order of their numbers.
+    pub fn names(&self) -> impl Iterator<Item = &str> {
+        self.1.iter().map(|name| &**name)
+    }
+
     /// The name behind a number.
     pub fn name(&self, id: u32) -> Option<&Rc<str>> {
         self.1.get(id as usize)
