Upgrades hand over the listening socket and the list, and lose nothing at the door

Seen: a second process exited with 1 since the address was in use, on every upgrade (listen.rs bind, one listener). Change: handover/ (state machine, Unix socket in TMPDIR, SCM_RIGHTS by rustix), upgrade.rs, a retiring end in shutdown.rs and clients.rs, which look for a request before they close. The publisher of the pool's figures runs once before the console answers (a test saw 'not ready' in the first millisecond).

--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -4,9 +4,10 @@
 use crate::clusters::{Clusters, Routing, Start};
 use crate::config::{Changes, Config};
 use crate::descriptors::Descriptors;
+use crate::handover::{self, Handover};
 use crate::operators::Operators;
 use crate::stats::Stats;
-use crate::{catalog, config_tool, console, listen, reload, shutdown, sidecar, tools};
+use crate::{catalog, config_tool, console, listen, reload, shutdown, sidecar, tools, upgrade};
 use argh::FromArgs;
 use slog::{Drain, Level, Logger, crit, info, o};
 use std::cell::RefCell;
@@ -168,11 +169,19 @@
 }
 
 /// Keeps the figures of the pool and the readiness up to date, for good.
-async fn publish(stats: Arc<Stats>, clusters: Rc<Clusters>, gate: Rc<listen::Gate>) {
+async fn publish(
+    stats: Arc<Stats>,
+    clusters: Rc<Clusters>,
+    gate: Rc<listen::Gate>,
+    mut beside: Option<Rc<Handover>>,
+) {
     let mut every = tokio::time::interval(PUBLISHED);
     loop {
         every.tick().await;
         stats.publish(clusters.pool(), gate.is_ready());
+        if gate.is_ready() {
+            beside.take().iter().for_each(|beside| beside.ready());
+        }
     }
 }
 
@@ -182,9 +191,13 @@
     stats: Arc<Stats>,
     clusters: Rc<Clusters>,
     gate: Rc<listen::Gate>,
+    beside: Option<Rc<Handover>>,
 ) {
     while let Some(console::Change { call, done }) = changes.recv().await {
         let answer = clusters.by_hand(&call);
+        if let (Ok(()), Some(beside), Some(change)) = (&answer, &beside, upgrade::told(&call)) {
+            beside.by_hand(change);
+        }
         stats.publish(clusters.pool(), gate.is_ready());
         let _ = done.send(answer); // nobody waits any more; it is done all the same
     }
@@ -199,7 +212,19 @@
         let ask = operators.is_some().then(|| signal(SignalKind::user_defined1())).transpose()?;
         let console =
             console.map(|at| console::bind(at).map_err(|e| format!("console: {at}: {e}"))).transpose()?;
-        let listener = listen::bind(listen)?;
+        let begun = match &console {
+            Some(_) => {
+                Some(upgrade::begin(listen, &log).await.map_err(|e| format!("listen: {listen}: {e}"))?)
+            }
+            None => None,
+        };
+        let (listener, path, given) = match begun {
+            Some(upgrade::Begun { listener, path, given }) => (listener, Some(path), given),
+            None => (listen::bind(listen, false)?.into_std()?, None, None),
+        };
+        let (taken_over, link) = given.map(handover::Given::split).unzip();
+        let kept = listener.try_clone()?;
+        let listener = tokio::net::TcpListener::from_std(listener)?;
         info!(log, "listening"; "on" => %listen, "version" => env!("CARGO_PKG_VERSION"));
         let stats = console.is_some().then(|| Arc::new(Stats::new(config.site.classes.names())));
         let (site, clock) = (Rc::new(RefCell::new(config.site)), Clock::start());
@@ -218,6 +243,7 @@
             known,
             routing,
             stats: stats.clone(),
+            taken_over,
         };
         let clusters = Clusters::start(start, &log);
         if let (Some(catalog), Some(ask)) = (catalog, ask) {
@@ -228,21 +254,24 @@
         }
         let gate =
             Rc::new(listen::Gate::new(clusters.routes.clone(), site, log.clone(), sockets, stats.clone()));
+        let process = Rc::new(upgrade::Process::new(gate.clone(), clusters.clone(), kept, sockets));
+        let beside = path.map(|path| Handover::start(process.clone(), path, link, log.clone()));
         if let (Some(console), Some(stats)) = (console, stats) {
-            actix_rt::spawn(publish(stats.clone(), clusters.clone(), gate.clone()));
+            stats.publish(clusters.pool(), gate.is_ready());
+            actix_rt::spawn(publish(stats.clone(), clusters.clone(), gate.clone(), beside.clone()));
             let changes = console::start(console, stats.clone(), log.clone())?;
-            actix_rt::spawn(by_hand(changes, stats, clusters.clone(), gate.clone()));
+            actix_rt::spawn(by_hand(changes, stats, clusters.clone(), gate.clone(), beside.clone()));
         }
         let adopt = {
-            let gate = gate.clone();
             move |changes: &Changes| {
-                gate.adopt(changes.sockets);
+                process.adopt(changes.sockets);
                 clusters.adopt(changes);
             }
         };
         actix_rt::spawn(reload::on_signal(hang_up, origin, adopt, log.clone()));
         let front = actix_rt::spawn(listen::serve(listener, gate.clone()));
-        shutdown::on_signal(gate, log.clone()).await?;
+        let replaced = || beside.as_ref().is_some_and(|beside| beside.is_replaced());
+        shutdown::on_signal(gate, replaced, log.clone()).await?;
         front.abort();
         Ok::<_, Box<dyn std::error::Error>>(())
     });
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -38,6 +38,8 @@
     next: Cell<u64>,
     open: Cell<usize>,
     in_work: Cell<usize>,
+    /// Idle ones end.
+    retiring: Cell<bool>,
     left: Notify,
 }
 
@@ -124,6 +126,12 @@
         }
     }
 
+    /// Idle connections end from now on, unless a request has just come on them.
+    pub fn retire(&self) {
+        self.retiring.set(true);
+        self.idle.borrow().values().for_each(|client| client.wake());
+    }
+
     fn place(&self) -> Place {
         (Instant::now(), self.next.replace(self.next.get() + 1))
     }
@@ -219,6 +227,13 @@
                     client.told.notify_one();
                     return read;
                 }
+                // Danger: closed with a request unread, it is lost to a client that may not send it again.
+                Poll::Pending
+                    if client.all.retiring.get() && matches!(client.state.get(), State::Idle(_)) =>
+                {
+                    client.cut.set(true);
+                    return Poll::Ready(Ok(()));
+                }
                 Poll::Pending => {}
             }
         }
--- a/crates/proxy/src/clusters.rs
+++ b/crates/proxy/src/clusters.rs
@@ -6,6 +6,7 @@
 use crate::console::call::{Call, No};
 use crate::descriptors::Descriptors;
 use crate::driver::{Driver, Shared};
+use crate::handover::State;
 use crate::membership::News;
 use crate::operators::{Overrides, REGISTRY, Rules};
 use crate::platform::registry;
@@ -57,8 +58,10 @@
     /// decisions' interface (they say when to ask, and judge its silence), and without an operators' file it
     /// must stay what it is. So it is a cluster beside the catalog's, which rules can lead to.
     pub fn start(config: Start, log: &Logger) -> Rc<Clusters> {
-        let Start { site, clock, seed, descriptors, discovery, known, routing, stats } = config;
-        let shared = Rc::new(Shared { clock, site, book: Rc::default(), descriptors, stats });
+        let Start { site, clock, seed, descriptors, discovery, known, routing, stats, taken_over } = config;
+        let State { list, out, back, .. } = taken_over.unwrap_or_default();
+        let shared =
+            Rc::new(Shared { clock, site, book: Rc::default(), descriptors, stats, by_hand: (out, back) });
         let Routing { named, rules, overrides } = routing;
         let at = |name: ClusterName| named.iter().position(|known| *known == name).unwrap_or(0);
         let rules = rules.map(at);
@@ -79,15 +82,17 @@
             let driver = Driver::start(&clusters.shared, settings, seed, discovery, log.clone());
             clusters.limit(&name, &driver, &ClusterSettings::default());
             place.serve(driver.context.clone());
-            driver.follow(&self::known(known.as_deref(), log));
+            match &list {
+                Some(list) => driver.take_over(&self::known(Some(list), log)),
+                None => driver.follow(&self::known(known.as_deref(), log)),
+            }
             clusters.registry = Some(driver);
         }
         Rc::new(clusters)
     }
 
-    /// Another address of discovery's, and other shares of the descriptors, hold from now on.
+    /// Another address of discovery's holds from now on.
     pub fn adopt(&self, changes: &Changes) {
-        self.shared.descriptors.adopt(changes.sockets.backends);
         self.registry.iter().for_each(|driver| driver.adopt(changes.discovery));
     }
 
@@ -108,6 +113,22 @@
         if done.iter().any(Result::is_ok) { Ok(()) } else { Err(No::Unknown(target.clone())) }
     }
 
+    /// What the next process must know.
+    pub fn state(&self) -> State {
+        let mut state =
+            State { list: self.registry.as_ref().map(|driver| driver.held_list()), ..State::default() };
+        for (out, back) in self.drivers().iter().map(|driver| driver.by_hand()) {
+            state.out.extend(out);
+            state.back.extend(back);
+        }
+        state
+    }
+
+    /// Other shares of the descriptors hold from now on.
+    pub fn limit_connections(&self, most: usize) {
+        self.shared.descriptors.adopt(most);
+    }
+
     /// All lists' size, and how many of them are avoided now.
     pub fn pool(&self) -> Pool {
         self.drivers().iter().map(|driver| driver.pool()).fold(Pool::default(), |all, one| Pool {
@@ -276,6 +297,8 @@
     pub routing: Routing,
     /// The figures, where anybody reads them.
     pub stats: Option<Arc<Stats>>,
+    /// What an earlier process knew that this one takes over from.
+    pub taken_over: Option<State>,
 }
 
 /// Which request goes where, and what clusters may use.
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -13,6 +13,9 @@
 /// Descriptors kept back for the listener, discovery, the log, the runtime, and clients over their share.
 const OWN_SOCKETS: usize = 48;
 
+/// Fewest descriptors for clients and backends together.
+const LEAST_SOCKETS: usize = 32;
+
 /// The variable that names the operators' file.
 const CLUSTERS: &str = "OLIVECART_CLUSTERS";
 
@@ -83,6 +86,17 @@
     pub backends: usize,
 }
 
+impl Sockets {
+    /// The part of each where so many processes share a limit. What a process needs for itself comes off each part.
+    pub fn part(self, parts: u32) -> Sockets {
+        let (parts, least) = (parts.max(1) as usize, LEAST_SOCKETS / 2);
+        let own = OWN_SOCKETS + console::CONNECTIONS;
+        let part =
+            |all: usize| (all / parts).saturating_sub(own / 2 * (parts - 1) / parts).max(least.min(all));
+        Sockets { clients: part(self.clients), backends: part(self.backends) }
+    }
+}
+
 /// Everything a proxy is told at its start.
 pub struct Config {
     /// Its name, the same after a restart.
@@ -285,7 +299,7 @@
         return Err(ConfigError::Value("limits.memory_mb", limits.memory_mb.to_string(), "32 or more"));
     }
     match limits.sockets.checked_sub(OWN_SOCKETS + console) {
-        Some(left) if left >= 32 => Ok(Sockets { clients: left / 2, backends: left - left / 2 }),
+        Some(left) if left >= LEAST_SOCKETS => Ok(Sockets { clients: left / 2, backends: left - left / 2 }),
         _ => bad("enough: 80 at least, or 104 with a console"),
     }
 }
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -8,7 +8,8 @@
 use crate::discovery::{Discovery, Subscriber};
 use crate::invariant::{must, take_broken};
 use crate::membership::{Endpoint, News};
-use crate::overlay::{Overlay, Unknown};
+use crate::overlay::{Overlay, Place, Unknown};
+use crate::platform::registry;
 use crate::stages::book::Book;
 use crate::stages::context::{Context, Decisions, Limits};
 use crate::stages::{route, send};
@@ -20,7 +21,7 @@
 use olivecart_settings::{Listed, Site};
 use slog::{Logger, debug, error, info};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::{Rc, Weak};
@@ -45,6 +46,8 @@
     pub descriptors: Rc<Descriptors>,
     /// The figures, where anybody reads them.
     pub stats: Option<Arc<Stats>>,
+    /// What an earlier process had out by hand, and had put back.
+    pub by_hand: (BTreeSet<String>, BTreeMap<String, Nanos>),
 }
 
 /// The decisions of one cluster and all that they act on.
@@ -57,6 +60,8 @@
     overlay: RefCell<Overlay>,
     /// Where the platform's own cluster comes from.
     discovery: Option<Discovery>,
+    /// Of the list that is held.
+    version: Cell<u64>,
     events: RefCell<VecDeque<Event>>,
     running: Cell<bool>,
     /// By due time, then in the order asked for.
@@ -91,7 +96,8 @@
                 shared.stats.clone(),
             )),
             shared: shared.clone(),
-            overlay: RefCell::default(),
+            overlay: RefCell::new(Overlay::restored(&shared.by_hand.0, &shared.by_hand.1)),
+            version: Cell::new(0),
             balancer: RefCell::new(Balancer::new(settings, seed, shared.clock.now())),
             discovery: discovery.map(|at| Discovery::new(at, this.clone(), log.clone())),
             events: RefCell::default(),
@@ -115,6 +121,37 @@
         }
     }
 
+    /// Takes in the list as another process has it at this moment, and follows it at once: it is as good as told.
+    pub fn take_over(&self, list: &News) {
+        self.list(list, ListChange::Full);
+        self.watch(true);
+    }
+
+    /// The list as it is held, in discovery's form.
+    pub fn held_list(&self) -> String {
+        let (overlay, site) = (self.overlay.borrow(), self.shared.site.borrow());
+        let endpoint = |(entry, addr): &'_ Place| Endpoint {
+            name: entry.name.to_string().into(),
+            state: entry.state,
+            zone: site.zones.name(entry.zone.0.into()).map_or("".into(), |name| name.to_string().into()),
+            kind: site.kinds.name(entry.kind.0.into()).map_or("".into(), |name| name.to_string().into()),
+            cell: entry.cell.0,
+            size: entry.size,
+            started: entry.started,
+            addr: *addr,
+        };
+        let endpoints = overlay.listed().map(endpoint).collect();
+        registry::write(&News { version: self.version.get(), full: true, endpoints })
+    }
+
+    /// Who is out by hand, and who was put back when.
+    pub fn by_hand(&self) -> (Vec<String>, Vec<(String, Nanos)>) {
+        let overlay = self.overlay.borrow();
+        let (out, back) = overlay.by_hand();
+        let back = back.iter().map(|(name, at)| (name.to_string(), *at)).collect();
+        (out.map(|name| name.to_string()).collect(), back)
+    }
+
     /// Another address of discovery's holds from now on.
     pub fn adopt(&self, discovery: SocketAddr) {
         self.discovery.iter().for_each(|own| own.move_to(discovery));
@@ -128,6 +165,7 @@
             self.context.backends.forget_all();
             self.overlay.borrow_mut().whole_list_follows();
         }
+        self.version.set(version);
         self.discovery.iter().for_each(|discovery| discovery.holds(version));
         let mut entries = Vec::with_capacity(named);
         for endpoint in &news.endpoints {
@@ -332,7 +370,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::platform::registry;
 
     #[test]
     fn endpoints_are_numbered_by_name_in_the_order_they_are_heard_of() {
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -9,7 +9,7 @@
 use crate::stages::{intake, relay};
 use crate::stats::{Ended, Stats};
 use crate::wire::Wire;
-use actix_http::{Extensions, HttpService, KeepAlive, Request, Response};
+use actix_http::{ConnectionType, Extensions, HttpService, KeepAlive, Request, Response};
 use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
 use bytes::Bytes;
 use olivecart_settings::Site;
@@ -45,6 +45,8 @@
     /// Once an end is planned: by when all must be answered.
     leaving: Cell<Option<Instant>>,
     closing: watch::Sender<bool>,
+    /// Connections are accepted, and not left to another process.
+    accepting: watch::Sender<bool>,
     /// The figures, where anybody reads them.
     stats: Option<Arc<Stats>>,
 }
@@ -59,9 +61,10 @@
         stats: Option<Arc<Stats>>,
     ) -> Gate {
         let (clients, last_accepted) = (Rc::default(), Cell::new(Instant::now()));
-        let (closing, leaving) = (watch::channel(false).0, Cell::new(None));
+        let (closing, accepting, leaving) =
+            (watch::channel(false).0, watch::channel(true).0, Cell::new(None));
         let sockets = Cell::new(sockets);
-        Gate { routes, site, log, sockets, clients, last_accepted, leaving, closing, stats }
+        Gate { routes, site, log, sockets, clients, last_accepted, leaving, closing, accepting, stats }
     }
 
     /// Sees to it that there are descriptors for one more connection. Danger: they run out, and with them
@@ -97,6 +100,17 @@
         self.closing.send_replace(true);
     }
 
+    /// Accepts connections from now on; or leaves them to the process that serves in this one's place, and answers
+    /// with `Connection: close`.
+    pub fn accept(&self, on: bool) {
+        self.accepting.send_replace(on);
+    }
+
+    /// Closes idle connections from now on, each after a last look for a request on it.
+    pub fn retire(&self) {
+        self.clients.retire();
+    }
+
     /// When the last connection was accepted.
     pub fn last_accepted(&self) -> Instant {
         self.last_accepted.get()
@@ -108,10 +122,13 @@
     }
 }
 
-/// Listens on the one address that the configuration names.
-pub fn bind(on: SocketAddr) -> io::Result<TcpListener> {
+/// Listens on the one address that the configuration names; with others, if it is `shared`.
+pub fn bind(on: SocketAddr, shared: bool) -> io::Result<TcpListener> {
     let socket = if on.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?; // a restart takes the address over from connections that linger
+    if shared {
+        socket.set_reuseport(true)?;
+    }
     socket.bind(on)?;
     socket.listen(BACKLOG)
 }
@@ -119,6 +136,7 @@
 /// Accepts connections for good.
 pub async fn serve(listener: TcpListener, gate: Rc<Gate>) {
     let (handler_gate, closing) = (gate.clone(), gate.closing.subscribe());
+    let mut accepting = gate.accepting.subscribe();
     // Times are kept in clients.rs: actix-http has one for the head of a first request only.
     let service = HttpService::build()
         .keep_alive(KeepAlive::Os)
@@ -136,8 +154,16 @@
     let service = Rc::new(service);
     actix_rt::spawn(keep_time(gate.clients.clone()));
     loop {
+        if accepting.wait_for(|accepting| *accepting).await.is_err() {
+            return; // the gate is gone
+        }
         gate.make_room().await;
-        let (stream, peer) = match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            _ = accepting.wait_for(|accepting| !*accepting) => continue,
+            accepted = listener.accept() => accepted,
+        };
+        let (stream, peer) = match accepted {
             Ok(accepted) => accepted,
             Err(e) => {
                 // Out of descriptors, or the peer went away at once: neither ends the proxy.
@@ -178,7 +204,10 @@
         _ => through_the_stages(&gate, request, &client).await,
     };
     match response {
-        Ok(response) => {
+        Ok(mut response) => {
+            if !*gate.accepting.borrow() {
+                response.head_mut().set_connection_type(ConnectionType::Close);
+            }
             client.idles();
             Ok(response)
         }
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -17,6 +17,7 @@
 mod descriptors;
 mod discovery;
 mod driver;
+mod handover;
 mod invariant;
 mod listen;
 mod membership;
@@ -30,6 +31,7 @@
 mod stats;
 mod tools;
 mod trace;
+mod upgrade;
 mod wire;
 
 use std::process::ExitCode;
--- a/crates/proxy/src/overlay.rs
+++ b/crates/proxy/src/overlay.rs
@@ -86,6 +86,25 @@
         Pool { size: self.listed.len(), ejected: self.listed.values().filter(avoided).count() }
     }
 
+    /// What is listed, by name.
+    pub fn listed(&self) -> impl Iterator<Item = &Place> {
+        self.listed.values()
+    }
+
+    /// Who is out, and who was put back when.
+    pub fn by_hand(&self) -> (impl Iterator<Item = &Rc<str>>, &BTreeMap<Rc<str>, Nanos>) {
+        (self.out.iter(), &self.back)
+    }
+
+    /// What another process said over the list, before anything is listed here.
+    pub fn restored(out: &BTreeSet<String>, back: &BTreeMap<String, Nanos>) -> Overlay {
+        Overlay {
+            listed: BTreeMap::new(),
+            out: out.iter().map(|name| name.as_str().into()).collect(),
+            back: back.iter().map(|(name, at)| (name.as_str().into(), *at)).collect(),
+        }
+    }
+
     fn amended(&self, mut entry: Entry) -> Entry {
         if entry.state == State::Ready && self.out.contains(&entry.name) {
             entry.state = State::Draining;
@@ -118,10 +137,10 @@
     fn whatever_lists_say_one_that_is_out_drains_until_it_is_put_back_and_is_cold_then() {
         let mut overlay = Overlay::default();
         overlay.pass(entry("a", State::Ready, Some(5)), None);
-        assert_eq!(overlay.detach("b"), Err(Unknown));
+        assert!(matches!(overlay.detach("b"), Err(Unknown)));
         let (out, _) = overlay.detach("a").expect("known").expect("a change");
         assert_eq!(out.state, State::Draining);
-        assert_eq!(overlay.detach("a"), Ok(None), "once more changes nothing");
+        assert!(matches!(overlay.detach("a"), Ok(None)), "once more changes nothing");
         overlay.whole_list_follows();
         let says = |overlay: &mut Overlay, state, started| {
             let entry = overlay.pass(entry("a", state, started), None);
@@ -129,10 +148,10 @@
         };
         assert_eq!(says(&mut overlay, State::Ready, Some(7)).0, State::Draining, "restarted");
         assert_eq!(says(&mut overlay, State::Gone, None).0, State::Gone);
-        assert_eq!(overlay.attach("a", 100), Ok(None), "not listed, and yet it may be put back");
-        assert_eq!(overlay.attach("a", 200), Err(Unknown), "it is back, and nobody lists it");
+        assert!(matches!(overlay.attach("a", 100), Ok(None)), "not listed, and yet it may be put back");
+        assert!(matches!(overlay.attach("a", 200), Err(Unknown)), "it is back, and nobody lists it");
         assert_eq!(says(&mut overlay, State::Ready, Some(9)), (State::Ready, Some(100)));
-        assert_eq!(overlay.attach("a", 200), Ok(None), "one call back is enough, and no second start");
+        assert!(matches!(overlay.attach("a", 200), Ok(None)), "one call back is enough, and no second start");
         assert_eq!(says(&mut overlay, State::Ready, Some(300)), (State::Ready, Some(300)), "a later start");
         assert_eq!(says(&mut overlay, State::Draining, None), (State::Draining, Some(100)));
     }
--- a/crates/proxy/src/platform/registry.rs
+++ b/crates/proxy/src/platform/registry.rs
@@ -2,7 +2,7 @@
 
 use crate::membership::{Endpoint, News};
 use olivecart_decisions::State;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 
 /// The path of the whole list.
@@ -13,6 +13,38 @@
     format!("{LIST}?watch=1&after={after}")
 }
 
+/// Writes what [`read`] reads.
+pub fn write(news: &News) -> String {
+    let servers = news.endpoints.iter().map(|e| Written {
+        id: &e.name,
+        addr: e.addr.map(|addr| addr.to_string()).unwrap_or_default(),
+        zone: &e.zone,
+        kind: &e.kind,
+        cell: e.cell,
+        state: match e.state {
+            State::Ready => "ready",
+            State::Draining => "draining",
+            State::Gone => "gone",
+        },
+        weight: e.size,
+        started_ms: e.started.unwrap_or(0) / 1_000_000,
+    });
+    let servers: Vec<Written> = servers.collect();
+    serde_json::json!({ "version": news.version, "full": news.full, "servers": servers }).to_string()
+}
+
+#[derive(Serialize)]
+struct Written<'a> {
+    id: &'a str,
+    addr: String,
+    zone: &'a str,
+    kind: &'a str,
+    cell: u64,
+    state: &'a str,
+    weight: f64,
+    started_ms: u64,
+}
+
 /// One object of discovery's.
 #[derive(Deserialize)]
 struct Document<'a> {
@@ -104,5 +136,9 @@
         assert_eq!((&*b.zone, &*b.kind, b.cell, b.size), ("", "", 0, 1.0));
         assert_eq!((b.state, b.addr), (State::Draining, None), "ready, but nobody can reach it");
         assert!(read(br#"{"version":1,"servers":[{"id":"a"}]}"#).is_err(), "no state");
+        let text = write(&news);
+        let again = read(text.as_bytes()).expect("what was written");
+        assert_eq!(write(&again), text);
+        assert_eq!((again.full, &*again.endpoints[0].name, again.endpoints[0].addr), (true, "aé", a.addr));
     }
 }
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -20,15 +20,38 @@
 const ALL_ANSWERED: Duration = Duration::from_millis(3400);
 /// All that was taken is answered at its deadline at the latest; what is left after this is stuck.
 const LONGEST: Duration = Duration::from_secs(30);
+/// Where another process serves in this one's place, clients have so long to move there by calling once more.
+const MOVING: Duration = Duration::from_millis(1000);
 const STEP: Duration = Duration::from_millis(10);
 
-/// Waits for SIGTERM or an interrupt, and then until nothing is left to answer.
-pub async fn on_signal(gate: Rc<Gate>, log: Logger) -> io::Result<()> {
+/// Waits for SIGTERM or an interrupt, and then until nothing is left to answer. `replaced`: whether another process
+/// serves in this one's place.
+pub async fn on_signal(gate: Rc<Gate>, replaced: impl Fn() -> bool, log: Logger) -> io::Result<()> {
     asked(&Notify::new()).await?;
-    drain(&[gate], &log).await;
+    if replaced() {
+        hand_over(gate, &log).await
+    } else {
+        drain(&[gate], &log).await
+    }
     Ok(())
 }
 
+/// Another process accepts what comes. Clients that call meanwhile are told to go there; the others' connections are
+/// closed then, each after a last look.
+async fn hand_over(gate: Rc<Gate>, log: &Logger) {
+    let began = Instant::now();
+    info!(log, "leaving to another process"; "connections" => gate.connections());
+    gate.leave(began + ALL_ANSWERED);
+    while gate.connections() > 0 && began.elapsed() < MOVING {
+        sleep(STEP).await;
+    }
+    gate.retire();
+    while gate.connections() > 0 && began.elapsed() < LONGEST {
+        sleep(STEP).await;
+    }
+    info!(log, "left"; "after_ms" => began.elapsed().as_millis() as u64);
+}
+
 /// Waits for SIGTERM, an interrupt, or a word.
 pub async fn asked(word: &Notify) -> io::Result<()> {
     let (mut term, mut interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
--- a/crates/proxy/src/sidecar/mod.rs
+++ b/crates/proxy/src/sidecar/mod.rs
@@ -124,7 +124,11 @@
     let shares = settings::shares(proxy);
     let descriptors = Rc::new(Descriptors::new(shares.endpoints));
     let bind = |what: &str, address: SocketAddr| {
-        listen::bind(address).map_err(|error| SidecarError::Bind { what: what.to_owned(), address, error })
+        listen::bind(address, false).map_err(|error| SidecarError::Bind {
+            what: what.to_owned(),
+            address,
+            error,
+        })
     };
     // All addresses before anything runs: a sidecar serves whole or not at all.
     let admin = proxy.admin.as_ref().map(|admin| bind("admin", admin.listen)).transpose()?;
@@ -244,6 +248,7 @@
                 known: None,
                 routing,
                 stats: None,
+                taken_over: None,
             },
             &log,
         );
