--- a/crates/proxy/src/answer.rs
+++ b/crates/proxy/src/answer.rs
@@ -8,6 +8,8 @@
 use crate::stats::Stats;
 use crate::wire::Tap;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, MessageType};
+use actix_http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use actix_http::{ResponseHead, StatusCode, Version};
 use bytes::BytesMut;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -26,8 +28,9 @@
 
 /// Largest head of an answer, with the interim ones ahead of it.
 const HEAD_LIMIT: usize = 16 * 1024;
-/// An answer that has begun is there within this time or does not end at all.
-const WHOLE: Duration = Duration::from_millis(500);
+/// An answer that has begun and brings nothing for so long does not end at all.
+const STILL: Duration = Duration::from_millis(1000);
+const HTTP_1_0: &[u8] = b"HTTP/1.0";
 /// Bytes read at a time.
 const READ: usize = 8 * 1024;
 
@@ -49,7 +52,7 @@
     limit: usize,
     /// More came than belongs to the answer.
     excess: Cell<bool>,
-    /// When the first byte of the answer came.
+    /// When some of the answer came last, since it began.
     begun: Cell<Option<Instant>>,
     began: Notify,
     reading: RefCell<Reading>,
@@ -121,14 +124,14 @@
         self.whole() && !self.ended.get() && !self.spoilt.get() && !self.excess.get()
     }
 
-    /// Resolves when an answer has begun and did not come whole in time.
+    /// Resolves when an answer has begun, is not whole, and brings nothing more.
     pub async fn stalls(&self) {
         loop {
             let Some(begun) = self.begun.get() else {
                 self.began.notified().await;
                 continue;
             };
-            sleep_until((begun + WHOLE).into()).await;
+            sleep_until((begun + STILL).into()).await;
             if self.begun.get() == Some(begun) {
                 return;
             }
@@ -149,10 +152,16 @@
                 }
                 Phase::Head => {
                     let mut codec = ClientCodec::default();
-                    let Some(head) = codec.decode(&mut rest).map_err(drop)? else {
+                    let Some(mut head) = codec.decode(&mut rest).map_err(drop)? else {
                         let too_long = reading.length + reading.raw.len() > HEAD_LIMIT;
                         return if too_long { Err(()) } else { Ok(()) };
                     };
+                    if self.ends_with_connection(&codec, &head) {
+                        // The libraries read on to the end of a connection in HTTP/1.0 only.
+                        reading.raw[..HTTP_1_0.len()].copy_from_slice(HTTP_1_0);
+                        (codec, rest) = (ClientCodec::default(), reading.raw.clone());
+                        head = codec.decode(&mut rest).map_err(drop)?.ok_or(())?;
+                    }
                     interim = head.status.is_informational() && head.status.as_u16() != 101;
                     reading.length += reading.raw.len() - rest.len();
                     if interim && reading.length > HEAD_LIMIT {
@@ -193,6 +202,22 @@
         Ok(())
     }
 
+    /// Whether a head says that its body goes on to the end of the connection.
+    fn ends_with_connection(&self, codec: &ClientCodec, head: &ResponseHead) -> bool {
+        let closes = || {
+            let said = head.headers.get_all(CONNECTION).filter_map(|v| v.to_str().ok());
+            said.flat_map(|v| v.split(',')).any(|option| option.trim().eq_ignore_ascii_case("close"))
+        };
+        head.version == Version::HTTP_11
+            && matches!(codec.message_type(), MessageType::None)
+            && !self.bodiless.get()
+            && !head.status.is_informational()
+            && !matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+            && !head.headers.contains_key(CONTENT_LENGTH)
+            && !head.headers.contains_key(TRANSFER_ENCODING)
+            && closes()
+    }
+
     fn broken() -> Poll<io::Result<()>> {
         Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, "not an answer")))
     }
@@ -242,8 +267,7 @@
                 }
                 return Poll::Ready(read);
             }
-            if !whole && self.begun.get().is_none() {
-                self.begun.set(Some(Instant::now()));
+            if !whole && self.begun.replace(Some(Instant::now())).is_none() {
                 self.began.notify_one();
             }
             reading.raw.extend_from_slice(came.filled());
--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -4,8 +4,8 @@
 //! are open, and when an idle one goes is then decided here and not by a pool that shares them out.
 
 use crate::answer::Seen;
+use crate::bodies::LONGEST;
 use crate::descriptors::{Descriptors, Holder, Open};
-use crate::platform::BODY_LIMIT;
 use crate::wire::Wire;
 use actix_service::fn_service;
 use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
@@ -224,7 +224,7 @@
     }
 
     fn connection(&self, endpoint: EndpointId, addr: SocketAddr, open: [Open; 2]) -> Lease {
-        let seen = Rc::new(Seen::new(BODY_LIMIT));
+        let seen = Rc::new(Seen::new(LONGEST as usize));
         let client = client(addr, self.connect_timeout.get(), &seen);
         Lease { client, addr, seen, kept: false, endpoint, _open: open }
     }
--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -1,12 +1,16 @@
 //! A call on its way between a front and the decisions, and the end that it comes to.
 
+use crate::bodies::{Broken, Download, Share, Upload};
+use actix_http::body::{BodySize, MessageBody};
 use actix_http::header::{HeaderMap, HeaderValue};
 use actix_http::{Method, StatusCode};
 use awc::http::uri::{Authority, PathAndQuery};
 use bytes::Bytes;
 use olivecart_decisions::{ClassId, TenantId};
 use std::fmt;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 /// What goes to a backend as it came.
@@ -17,8 +21,21 @@
     pub target: Option<PathAndQuery>,
     /// End-to-end headers.
     pub headers: HeaderMap,
-    /// The whole body.
-    pub body: Bytes,
+    /// The body.
+    pub body: Body,
+}
+
+/// A request's body.
+pub enum Body {
+    /// All of it, with its share of the memory if it is long.
+    Whole {
+        /// The bytes as they came.
+        bytes: Bytes,
+        /// Held with them.
+        _share: Option<Share>,
+    },
+    /// It is still coming.
+    Streamed(Rc<Upload>),
 }
 
 /// A request with all that the decisions need of it.
@@ -31,7 +48,7 @@
     pub tenant: Option<TenantId>,
     /// The client marked a repeated try.
     pub retry: bool,
-    /// When the client stops waiting.
+    /// When the client stops waiting; of a body that is still coming, if it ended now.
     pub deadline: Instant,
     /// The authority, where the request's target names one; otherwise it is among the headers.
     pub authority: Option<Authority>,
@@ -73,14 +90,48 @@
     }
 }
 
-/// A backend's whole answer.
+/// A backend's answer.
 pub struct Answer {
     /// Its status.
     pub status: StatusCode,
     /// End-to-end headers.
     pub headers: HeaderMap,
     /// The body, as it came.
-    pub body: Bytes,
+    pub body: AnswerBody,
+}
+
+/// An answer's body.
+#[derive(Debug)]
+pub enum AnswerBody {
+    /// All of it.
+    Whole(Bytes),
+    /// It is still coming.
+    Streamed(Download),
+}
+
+impl From<Bytes> for AnswerBody {
+    fn from(whole: Bytes) -> AnswerBody {
+        AnswerBody::Whole(whole)
+    }
+}
+
+impl MessageBody for AnswerBody {
+    type Error = Broken;
+
+    fn size(&self) -> BodySize {
+        match self {
+            AnswerBody::Whole(bytes) => BodySize::Sized(bytes.len() as u64),
+            AnswerBody::Streamed(download) => download.size(),
+        }
+    }
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Broken>>> {
+        match &mut *self {
+            AnswerBody::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
+            AnswerBody::Whole(bytes) => Poll::Ready(Some(Ok(std::mem::take(bytes)))),
+            AnswerBody::Streamed(download) => Pin::new(download).poll_next(cx),
+        }
+    }
 }
 
 /// How a request ended.
--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+use crate::bodies::Budget;
 use crate::clock::Clock;
 use crate::clusters::{Clusters, Routing, Start};
 use crate::config::{Changes, Config};
@@ -207,7 +208,8 @@
     let (log, guard) = logger(config.name.clone());
     let done = actix_rt::System::new().block_on(async {
         let hang_up = reload::register()?; // before anything that takes time
-        let Config { listen, discovery, console, seed, sockets, known, origin, operators, .. } = config;
+        let Config { listen, discovery, console, seed, sockets, bodies, known, origin, operators, .. } =
+            config;
         // Danger: unregistered, the signal ends the program. Without an operators' file it does, as ever.
         let ask = operators.is_some().then(|| signal(SignalKind::user_defined1())).transpose()?;
         let console =
@@ -223,7 +225,8 @@
             None => (listen::bind(listen, false)?.into_std()?, None, None),
         };
         let (taken_over, link) = given.map(handover::Given::split).unzip();
-        let kept = listener.try_clone()?;
+        let kept = path.is_some().then(|| listener.try_clone()).transpose()?;
+        let budget = Rc::new(Budget::new(bodies));
         let listener = tokio::net::TcpListener::from_std(listener)?;
         info!(log, "listening"; "on" => %listen, "version" => env!("CARGO_PKG_VERSION"));
         let stats = console.is_some().then(|| Arc::new(Stats::new(config.site.classes.names())));
@@ -242,6 +245,7 @@
             discovery,
             known,
             routing,
+            budget: budget.clone(),
             stats: stats.clone(),
             taken_over,
         };
@@ -252,9 +256,21 @@
             actix_rt::spawn(clusters.clone().keep_reporting(asked.clone()));
             actix_rt::spawn(pass_on(ask, asked, catalog.report));
         }
-        let gate =
-            Rc::new(listen::Gate::new(clusters.routes.clone(), site, log.clone(), sockets, stats.clone()));
-        let process = Rc::new(upgrade::Process::new(gate.clone(), clusters.clone(), kept, sockets));
+        let gate = Rc::new(listen::Gate::new(
+            clusters.routes.clone(),
+            site,
+            log.clone(),
+            sockets,
+            budget.clone(),
+            stats.clone(),
+        ));
+        let process = Rc::new(upgrade::Process::new(
+            gate.clone(),
+            clusters.clone(),
+            kept,
+            sockets,
+            (budget.clone(), bodies),
+        ));
         let beside = path.map(|path| Handover::start(process.clone(), path, link, log.clone()));
         if let (Some(console), Some(stats)) = (console, stats) {
             stats.publish(clusters.pool(), gate.is_ready());
@@ -264,7 +280,7 @@
         }
         let adopt = {
             move |changes: &Changes| {
-                process.adopt(changes.sockets);
+                process.adopt(changes.sockets, changes.bodies);
                 clusters.adopt(changes);
             }
         };
@@ -273,6 +289,7 @@
         let replaced = || beside.as_ref().is_some_and(|beside| beside.is_replaced());
         shutdown::on_signal(gate, replaced, log.clone()).await?;
         front.abort();
+        info!(log, "stopped"; "long_bodies_peak" => budget.peak(), "of" => bodies);
         Ok::<_, Box<dyn std::error::Error>>(())
     });
     let code = match done {
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -16,9 +16,11 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-/// A request is there this long after its first byte, and the first one after the connection was made.
-/// Danger: clients that connect and say nothing, or a byte at a time, and so hold what others need.
-const WHOLE: Duration = Duration::from_secs(2);
+/// A request's head is there this long after its first byte, and the first one after the connection was made.
+/// Danger: clients that connect and say nothing, or a byte at a time, and so hold what others need. One may take 2 s.
+const HEAD: Duration = Duration::from_millis(2500);
+/// Its body may take longer, but not stand still for so long.
+const STILL: Duration = Duration::from_secs(2);
 /// A connection is kept this long between two requests.
 const IDLE: Duration = Duration::from_secs(10);
 /// When descriptors run short, one that is owed a request goes before an idle one after this long...
@@ -34,6 +36,8 @@
 #[derive(Default)]
 pub struct Clients {
     owed: Queue,
+    /// Those with a body under way, by when some of it came last.
+    uploads: Queue,
     idle: Queue,
     next: Cell<u64>,
     open: Cell<usize>,
@@ -46,6 +50,7 @@
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum State {
     Owed(Place),
+    Uploads(Place),
     InWork,
     Idle(Place),
     Gone,
@@ -106,7 +111,7 @@
 
     /// Cuts off those whose time is up.
     pub fn expire(&self) {
-        for (queue, time) in [(&self.owed, WHOLE), (&self.idle, IDLE)] {
+        for (queue, time) in [(&self.owed, HEAD), (&self.uploads, STILL), (&self.idle, IDLE)] {
             while Clients::first(queue).is_some_and(|age| age >= time) {
                 Clients::cut_first(queue);
             }
@@ -151,14 +156,21 @@
 }
 
 impl Client {
-    /// Its request is whole and in work.
+    /// The head of its request is there, and its body is to come.
+    pub fn uploads(self: &Rc<Self>) {
+        self.becomes(State::Uploads(self.all.place()));
+    }
+
+    /// Its request is whole and in work, or its rest is read at the pace of a backend.
     pub fn in_work(self: &Rc<Self>) {
         self.becomes(State::InWork);
     }
 
     /// Its request is answered.
     pub fn idles(self: &Rc<Self>) {
-        self.becomes(State::Idle(self.all.place()));
+        if self.state.get() != State::Gone {
+            self.becomes(State::Idle(self.all.place()));
+        }
     }
 
     /// Its request was no good, and the connection ends with the answer. What it goes on to send is not read;
@@ -179,12 +191,14 @@
         let all = &self.all;
         match self.state.replace(state) {
             State::Owed(place) => _ = all.owed.borrow_mut().remove(&place),
+            State::Uploads(place) => _ = all.uploads.borrow_mut().remove(&place),
             State::Idle(place) => _ = all.idle.borrow_mut().remove(&place),
             State::InWork => all.in_work.set(all.in_work.get() - 1),
             State::Gone => {}
         }
         match state {
             State::Owed(place) => _ = all.owed.borrow_mut().insert(place, self.clone()),
+            State::Uploads(place) => _ = all.uploads.borrow_mut().insert(place, self.clone()),
             State::Idle(place) => _ = all.idle.borrow_mut().insert(place, self.clone()),
             State::InWork => all.in_work.set(all.in_work.get() + 1),
             State::Gone => {}
@@ -217,8 +231,10 @@
             let read = stream.poll_read(cx, buf);
             match &read {
                 Poll::Ready(Ok(())) if buf.filled().len() > before => {
-                    if matches!(client.state.get(), State::Idle(_)) {
-                        client.becomes(State::Owed(client.all.place()));
+                    match client.state.get() {
+                        State::Idle(_) => client.becomes(State::Owed(client.all.place())),
+                        State::Uploads(_) => client.becomes(State::Uploads(client.all.place())),
+                        _ => {}
                     }
                     return read;
                 }
--- a/crates/proxy/src/clusters.rs
+++ b/crates/proxy/src/clusters.rs
@@ -1,5 +1,6 @@
 //! All clusters of the proxy: the platform's own, and those that the operators' sources bring.
 
+use crate::bodies::Budget;
 use crate::catalog::{Numbered, Step};
 use crate::clock::Clock;
 use crate::config::Changes;
@@ -58,10 +59,18 @@
     /// decisions' interface (they say when to ask, and judge its silence), and without an operators' file it
     /// must stay what it is. So it is a cluster beside the catalog's, which rules can lead to.
     pub fn start(config: Start, log: &Logger) -> Rc<Clusters> {
-        let Start { site, clock, seed, descriptors, discovery, known, routing, stats, taken_over } = config;
+        let Start { site, clock, seed, descriptors, discovery, known, routing, budget, stats, taken_over } =
+            config;
         let State { list, out, back, .. } = taken_over.unwrap_or_default();
-        let shared =
-            Rc::new(Shared { clock, site, book: Rc::default(), descriptors, stats, by_hand: (out, back) });
+        let shared = Rc::new(Shared {
+            clock,
+            site,
+            book: Rc::default(),
+            descriptors,
+            budget,
+            stats,
+            by_hand: (out, back),
+        });
         let Routing { named, rules, overrides } = routing;
         let at = |name: ClusterName| named.iter().position(|known| *known == name).unwrap_or(0);
         let rules = rules.map(at);
@@ -295,6 +304,8 @@
     pub known: Option<String>,
     /// Which request goes where.
     pub routing: Routing,
+    /// The memory for long bodies.
+    pub budget: Rc<Budget>,
     /// The figures, where anybody reads them.
     pub stats: Option<Arc<Stats>>,
     /// What an earlier process knew that this one takes over from.
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -13,6 +13,10 @@
 /// Descriptors kept back for the listener, discovery, the log, the runtime, and clients over their share.
 const OWN_SOCKETS: usize = 48;
 
+/// The part of the memory that long bodies may hold. The rest is for what a process needs at rest, some 4 MB, and for
+/// what each connection holds beside them.
+const BODIES: f64 = 0.4;
+
 /// Fewest descriptors for clients and backends together.
 const LEAST_SOCKETS: usize = 32;
 
@@ -111,6 +115,8 @@
     pub seed: u64,
     /// Shares of the descriptor limit.
     pub sockets: Sockets,
+    /// Bytes that long bodies may hold.
+    pub bodies: usize,
     /// The list as this proxy last had it, in discovery's form.
     pub known: Option<String>,
     /// The settings, read.
@@ -147,6 +153,8 @@
     pub discovery: SocketAddr,
     /// Shares of the descriptor limit from now on.
     pub sockets: Sockets,
+    /// Bytes that long bodies may hold from now on.
+    pub bodies: usize,
     /// Keys that changed but take effect only at a start.
     pub at_start: Vec<&'static str>,
 }
@@ -174,7 +182,7 @@
         ];
         let at_start = differs.into_iter().filter_map(|(key, differs)| differs.then_some(key)).collect();
         (self.said, self.discovery) = (said, new.discovery);
-        Ok(Changes { discovery: new.discovery, sockets: new.sockets, at_start })
+        Ok(Changes { discovery: new.discovery, sockets: new.sockets, bodies: new.bodies, at_start })
     }
 }
 
@@ -235,6 +243,7 @@
             console,
             seed: seed(file.seed)?,
             sockets: share_out(&file.limits, if console.is_some() { console::CONNECTIONS } else { 0 })?,
+            bodies: (file.limits.memory_mb * BODIES * 1e6) as usize,
             known: file.known.map(|k| k.get().to_owned()),
             site: Site::read(settings.get())?,
             operators: None,
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -2,6 +2,7 @@
 //! their timers. What it shares with other clusters' is [`Shared`].
 
 use crate::backends::Backends;
+use crate::bodies::Budget;
 use crate::call::Verdict;
 use crate::clock::Clock;
 use crate::descriptors::Descriptors;
@@ -44,6 +45,8 @@
     pub book: Rc<Book>,
     /// The budget for connections.
     pub descriptors: Rc<Descriptors>,
+    /// The memory for long bodies.
+    pub budget: Rc<Budget>,
     /// The figures, where anybody reads them.
     pub stats: Option<Arc<Stats>>,
     /// What an earlier process had out by hand, and had put back.
@@ -93,6 +96,7 @@
                 shared.book.clone(),
                 backends,
                 limits,
+                shared.budget.clone(),
                 shared.stats.clone(),
             )),
             shared: shared.clone(),
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -1,19 +1,20 @@
 //! The clients' side: accepts connections, speaks HTTP on them, and takes each request through the stages.
 
-use crate::call::{Call, Verdict};
+use crate::bodies::{Budget, Download};
+use crate::call::{AnswerBody, Call, Verdict};
 use crate::clients::{Client, Clients, Reader};
 use crate::config::Sockets;
 use crate::platform::client;
 use crate::stages::admit::{self, NotAdmitted};
 use crate::stages::choose::Routes;
 use crate::stages::{intake, relay};
-use crate::stats::{Ended, Stats};
+use crate::stats::{Ended, Stats, Taken};
 use crate::wire::Wire;
 use actix_http::{ConnectionType, Extensions, HttpService, KeepAlive, Request, Response};
 use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
-use bytes::Bytes;
 use olivecart_settings::Site;
 use slog::{Logger, debug, warn};
+use std::any::Any;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::io;
@@ -47,6 +48,8 @@
     closing: watch::Sender<bool>,
     /// Connections are accepted, and not left to another process.
     accepting: watch::Sender<bool>,
+    /// The memory for long bodies.
+    budget: Rc<Budget>,
     /// The figures, where anybody reads them.
     stats: Option<Arc<Stats>>,
 }
@@ -58,13 +61,26 @@
         site: Rc<RefCell<Site>>,
         log: Logger,
         sockets: Sockets,
+        budget: Rc<Budget>,
         stats: Option<Arc<Stats>>,
     ) -> Gate {
         let (clients, last_accepted) = (Rc::default(), Cell::new(Instant::now()));
         let (closing, accepting, leaving) =
             (watch::channel(false).0, watch::channel(true).0, Cell::new(None));
         let sockets = Cell::new(sockets);
-        Gate { routes, site, log, sockets, clients, last_accepted, leaving, closing, accepting, stats }
+        Gate {
+            routes,
+            site,
+            log,
+            sockets,
+            clients,
+            last_accepted,
+            leaving,
+            closing,
+            accepting,
+            budget,
+            stats,
+        }
     }
 
     /// Sees to it that there are descriptors for one more connection. Danger: they run out, and with them
@@ -194,13 +210,13 @@
     }
 }
 
-async fn handle(gate: Rc<Gate>, request: Request) -> Result<Response<Bytes>, Infallible> {
+async fn handle(gate: Rc<Gate>, request: Request) -> Result<Response<AnswerBody>, Infallible> {
     let Some(client) = request.conn_data::<Rc<Client>>().cloned() else {
-        return Ok(client::refusal(Duration::ZERO)); // on_connect_ext leaves none without
+        return Ok(client::held(client::refusal(Duration::ZERO))); // on_connect_ext leaves none without
     };
     let response = match request.path() {
-        client::READY => Ok(client::health(gate.is_ready())),
-        client::LIVE => Ok(client::health(true)),
+        client::READY => Ok(client::held(client::health(gate.is_ready()))),
+        client::LIVE => Ok(client::held(client::health(true))),
         _ => through_the_stages(&gate, request, &client).await,
     };
     match response {
@@ -208,12 +224,12 @@
             if !*gate.accepting.borrow() {
                 response.head_mut().set_connection_type(ConnectionType::Close);
             }
-            client.idles();
-            Ok(response)
+            let work = InWork(client); // until the last byte of a long answer
+            Ok(kept_open(response, work))
         }
         Err(reject) => {
             client.turned_away();
-            Ok(client::rejection(&reject))
+            Ok(client::held(client::rejection(&reject)))
         }
     }
 }
@@ -222,38 +238,87 @@
     gate: &Gate,
     request: Request,
     client: &Rc<Client>,
-) -> Result<Response<Bytes>, client::Reject> {
-    let call = intake::take(request, &gate.site).await?;
-    let mut taken = gate.stats.as_ref().map(|stats| stats.take(usize::from(call.class.0)));
-    let answer = put(gate, client, call).await;
-    if let (Some(taken), Ok(answer)) = (&mut taken, &answer) {
-        taken.ends(match answer.status().as_u16() {
-            200 => Ended::Ok,
-            429 | 503 => Ended::Shed,
-            _ => Ended::Error,
-        });
+) -> Result<Response<AnswerBody>, client::Reject> {
+    client.uploads();
+    let call = intake::take(request, &gate.site, &gate.budget).await?;
+    let taken = gate.stats.as_ref().map(|stats| stats.take(usize::from(call.class.0)));
+    let answer = put(gate, client, call).await?;
+    Ok(match taken {
+        None => answer,
+        Some(taken) => count(answer, taken),
+    })
+}
+
+/// Counts a request by its answer, once the whole of it went on.
+fn count(answer: Response<AnswerBody>, mut taken: Taken) -> Response<AnswerBody> {
+    let ended = match answer.status().as_u16() {
+        200 => Ended::Ok,
+        429 | 503 => Ended::Shed,
+        _ => Ended::Error,
+    };
+    with_body(answer, |download| match download {
+        None => taken.ends(ended),
+        Some(download) => download.when_ended(move |whole| {
+            taken.ends(if whole { ended } else { Ended::Error });
+        }),
+    })
+}
+
+/// Keeps something until the last byte of the answer, if that is streamed, or until now.
+fn kept_open(answer: Response<AnswerBody>, what: impl Any) -> Response<AnswerBody> {
+    with_body(answer, |download| {
+        if let Some(download) = download {
+            download.keep(what);
+        }
+    })
+}
+
+/// Does something with the body of an answer, if it is streamed, or with none.
+fn with_body(
+    response: Response<AnswerBody>,
+    does: impl FnOnce(Option<&mut Download>),
+) -> Response<AnswerBody> {
+    response.map_body(|_, mut body| {
+        match &mut body {
+            AnswerBody::Whole(_) => does(None),
+            AnswerBody::Streamed(download) => does(Some(download)),
+        }
+        body
+    })
+}
+
+/// Keeps a client's connection in work while it lives.
+struct InWork(Rc<Client>);
+
+impl Drop for InWork {
+    fn drop(&mut self) {
+        self.0.idles();
     }
-    answer
 }
 
 /// Puts a call to its cluster, and has the answer.
-async fn put(gate: &Gate, client: &Rc<Client>, mut call: Call) -> Result<Response<Bytes>, client::Reject> {
+async fn put(
+    gate: &Gate,
+    client: &Rc<Client>,
+    mut call: Call,
+) -> Result<Response<AnswerBody>, client::Reject> {
     // Danger: an end that comes before the answer, which is then lost.
     call.deadline = gate.leaving.get().map_or(call.deadline, |by| call.deadline.min(by));
     client.in_work();
     if gate.clients.in_work() > gate.sockets.get().clients {
-        return Ok(client::crowded());
+        return Ok(client::held(client::crowded()));
     }
     let context = match gate.routes.choose(|| client::traits(&call)) {
         Ok(context) => context,
-        Err(absent) => return Ok(client::absent(&absent)),
+        Err(absent) => return Ok(client::held(client::absent(&absent))),
     };
-    let held = match admit::admit(&context, call) {
+    let mut held = match admit::admit(&context, call) {
         Ok(held) => held,
-        Err(NotAdmitted::Full) => return Ok(client::crowded()),
+        Err(NotAdmitted::Full) => return Ok(client::held(client::crowded())),
         Err(NotAdmitted::Twice) => return Err(client::Reject::Open),
     };
-    let verdict = relay::relay(held, client.gone()).await;
+    let verdict = relay::relay(&mut held, client.gone()).await;
     // Nobody reads the answer to a client that has gone.
-    Ok(client::answer(verdict.unwrap_or(Verdict::Failed)))
+    let answer = client::answer(verdict.unwrap_or(Verdict::Failed));
+    Ok(kept_open(answer, held))
 }
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -5,6 +5,7 @@
 
 mod answer;
 mod backends;
+mod bodies;
 mod call;
 mod catalog;
 mod cli;
--- a/crates/proxy/src/platform/client.rs
+++ b/crates/proxy/src/platform/client.rs
@@ -1,7 +1,8 @@
 //! What callers send and what they are told.
 
-use super::{BODY_LIMIT, end_to_end, names};
-use crate::call::{Absent, Call, Payload, Traits, Verdict};
+use super::{end_to_end, names};
+use crate::bodies::LONGEST;
+use crate::call::{Absent, AnswerBody, Body, Call, Payload, Traits, Verdict};
 use actix_http::header::{self, HeaderName, HeaderValue};
 use actix_http::{ConnectionType, Method, RequestHead, Response, ResponseBuilder, StatusCode};
 use bytes::Bytes;
@@ -25,11 +26,14 @@
     #[error("method not allowed")]
     Method,
     /// The body is over the limit.
-    #[error("the body is larger than 65536 bytes")]
+    #[error("the body is larger than {LONGEST} bytes")]
     TooLarge,
     /// The body did not arrive whole, or not in time.
     #[error("the body broke off")]
     Broken,
+    /// There is no memory for a long body now.
+    #[error("no room for a body of this length")]
+    NoRoom,
     /// Another request with this id is open.
     #[error("a request with this id is open")]
     Open,
@@ -42,6 +46,7 @@
             Reject::Method => StatusCode::METHOD_NOT_ALLOWED,
             Reject::Open => StatusCode::CONFLICT,
             Reject::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Reject::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
@@ -58,6 +63,8 @@
     pub left: Option<Duration>,
     /// The client marked a repeated try.
     pub retry: bool,
+    /// How long its body is, where its head says so.
+    pub length: Option<u64>,
 }
 
 /// Reads the head of a request.
@@ -71,7 +78,7 @@
     };
     // A length that is known to be too much is turned away unread.
     let length = text(&header::CONTENT_LENGTH)?.and_then(|l| l.trim().parse::<u64>().ok());
-    if length.is_some_and(|length| length > BODY_LIMIT as u64) {
+    if length.is_some_and(|length| length > LONGEST) {
         return Err(Reject::TooLarge);
     }
     // Danger: a backend takes a request without an id for a stray one.
@@ -87,7 +94,7 @@
         ))?),
     };
     let (class, tenant) = (class.to_owned(), text(&names::TENANT)?.map(str::to_owned));
-    Ok(Fields { id, class, tenant, left, retry: text(&names::RETRY)? == Some("1") })
+    Ok(Fields { id, class, tenant, left, retry: text(&names::RETRY)? == Some("1"), length })
 }
 
 /// An unknown class, told as a bad header.
@@ -112,7 +119,7 @@
 }
 
 /// The part of a request that goes on as it came: method, target, end-to-end headers and body.
-pub fn payload(head: &RequestHead, body: Bytes) -> Payload {
+pub fn payload(head: &RequestHead, body: Body) -> Payload {
     let mut headers = end_to_end(&head.headers);
     headers.remove(&names::DEADLINE);
     Payload { method: head.method.clone(), target: head.uri.path_and_query().cloned(), headers, body }
@@ -132,7 +139,7 @@
 }
 
 /// The answer that a verdict comes to.
-pub fn answer(verdict: Verdict) -> Response<Bytes> {
+pub fn answer(verdict: Verdict) -> Response<AnswerBody> {
     let plain =
         |status, text: &'static str| built(ResponseBuilder::new(status), Bytes::from_static(text.as_bytes()));
     match verdict {
@@ -141,12 +148,17 @@
             *response.headers_mut() = answer.headers;
             response
         }
-        Verdict::Refused { come_back } => refusal(come_back),
-        Verdict::Failed => plain(StatusCode::BAD_GATEWAY, "failed\n"),
-        Verdict::Overdue => plain(StatusCode::GATEWAY_TIMEOUT, "out of time\n"),
+        Verdict::Refused { come_back } => held(refusal(come_back)),
+        Verdict::Failed => held(plain(StatusCode::BAD_GATEWAY, "failed\n")),
+        Verdict::Overdue => held(plain(StatusCode::GATEWAY_TIMEOUT, "out of time\n")),
     }
 }
 
+/// An answer that is held whole.
+pub fn held(response: Response<Bytes>) -> Response<AnswerBody> {
+    response.map_body(|_, body| body.into())
+}
+
 /// A refusal; trying again is harmless.
 pub fn refusal(come_back: Duration) -> Response<Bytes> {
     let come_back = if come_back.is_zero() { COME_BACK } else { come_back };
--- a/crates/proxy/src/platform/mod.rs
+++ b/crates/proxy/src/platform/mod.rs
@@ -20,9 +20,6 @@
     pub const NOT_RUN: HeaderName = HeaderName::from_static("x-not-run");
 }
 
-/// Largest body, either way.
-pub const BODY_LIMIT: usize = 64 * 1024;
-
 /// Headers of one connection, and those that the body's framing makes anew.
 const HOP_BY_HOP: [HeaderName; 10] = [
     header::CONNECTION,
--- a/crates/proxy/src/sidecar/mod.rs
+++ b/crates/proxy/src/sidecar/mod.rs
@@ -10,6 +10,7 @@
 mod live;
 mod settings;
 
+use crate::bodies::Budget;
 use crate::catalog::{self, Step};
 use crate::clock::Clock;
 use crate::clusters::{Clusters, Routing, Start};
@@ -112,6 +113,9 @@
     }
 }
 
+/// Bytes that long bodies may hold; a sidecar is told no limit of memory.
+const BODIES: usize = 16 << 20;
+
 /// Serves until a signal or the admin listener ends it.
 ///
 /// # Errors
@@ -123,6 +127,7 @@
     let seed = clock.now() ^ u64::from(std::process::id()) << 32;
     let shares = settings::shares(proxy);
     let descriptors = Rc::new(Descriptors::new(shares.endpoints));
+    let budget = Rc::new(Budget::new(BODIES));
     let bind = |what: &str, address: SocketAddr| {
         listen::bind(address, false).map_err(|error| SidecarError::Bind {
             what: what.to_owned(),
@@ -146,7 +151,8 @@
         let overrides = named.iter().map(limits).collect();
         let routing = Routing { named, rules, overrides };
         let log = log.new(slog::o!("listener" => call.application.clone()));
-        let side = Parts { clock, seed, descriptors: &descriptors, clients: shares.outbound };
+        let side =
+            Parts { clock, seed, descriptors: &descriptors, budget: &budget, clients: shares.outbound };
         sides.push(side.start(call.application.clone(), listener, site, routing, log));
     }
     let outbound: Vec<Rc<Clusters>> = sides.iter().map(|side| side.clusters.clone()).collect();
@@ -157,7 +163,7 @@
         let name = ClusterName::from(application::CLUSTER);
         let routing = Routing { named: vec![name], ..Routing::default() };
         let log = log.new(slog::o!("listener" => "inbound"));
-        let side = Parts { clock, seed, descriptors: &descriptors, clients: shares.inbound };
+        let side = Parts { clock, seed, descriptors: &descriptors, budget: &budget, clients: shares.inbound };
         let side = side.start("inbound".into(), listener, site, routing, log.clone());
         let most = own.max_requests.unwrap_or(olivecart_config::resolve::MAX_REQUESTS);
         let own_limit = Rc::new(Limit::new(most, side.clusters.clone()));
@@ -225,6 +231,7 @@
     clock: Clock,
     seed: u64,
     descriptors: &'a Rc<Descriptors>,
+    budget: &'a Rc<Budget>,
     clients: usize,
 }
 
@@ -247,13 +254,14 @@
                 discovery: None,
                 known: None,
                 routing,
+                budget: self.budget.clone(),
                 stats: None,
                 taken_over: None,
             },
             &log,
         );
         let sockets = Sockets { clients: self.clients, backends: 0 };
-        let gate = Rc::new(Gate::new(clusters.routes.clone(), site, log, sockets, None));
+        let gate = Rc::new(Gate::new(clusters.routes.clone(), site, log, sockets, self.budget.clone(), None));
         Side { name, listener, gate, clusters }
     }
 }
--- a/crates/proxy/src/stages/admit.rs
+++ b/crates/proxy/src/stages/admit.rs
@@ -2,7 +2,8 @@
 //! the limits on open requests that the settings give, and the cluster's source or its operators.
 
 use super::context::Context;
-use crate::call::{Call, Verdict};
+use crate::bodies::Upload;
+use crate::call::{Body, Call, Verdict};
 use olivecart_decisions::{Event, Request, RequestId};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -10,12 +11,14 @@
 
 /// The decisions and every attempt end this long before the client stops waiting, so that what they come to
 /// still reaches it in time.
-const MARGIN: Duration = Duration::from_millis(6);
+pub const MARGIN: Duration = Duration::from_millis(6);
 
 /// An open request. Dropped before its end, it tells the decisions that the client has gone.
 pub struct Held {
     /// The time by which it must be answered, come what may.
     pub deadline: Instant,
+    /// The body, if it was still coming.
+    pub upload: Option<Rc<Upload>>,
     verdict: oneshot::Receiver<Verdict>,
     /// Closes the account when it is dropped.
     _account: Account,
@@ -41,6 +44,10 @@
         return Err(NotAdmitted::Full);
     }
     let until = call.deadline.checked_sub(MARGIN).unwrap_or(call.deadline);
+    let upload = match &call.payload.body {
+        Body::Streamed(upload) => Some(upload.clone()),
+        Body::Whole { .. } => None,
+    };
     let (request, verdict) = context.book.open(call.id, call.payload, until).ok_or(NotAdmitted::Twice)?;
     context.enter();
     let account = Account { context: context.clone(), request };
@@ -49,7 +56,7 @@
         retry: call.retry,
         ..Request::new(request, call.class, until.saturating_duration_since(Instant::now()).as_nanos() as u64)
     }));
-    Ok(Held { deadline: call.deadline, verdict, _account: account })
+    Ok(Held { deadline: call.deadline, upload, verdict, _account: account })
 }
 
 impl Held {
@@ -72,7 +79,7 @@
 mod tests {
     use super::*;
     use crate::backends::Backends;
-    use crate::call::Payload;
+    use crate::call::{Body, Payload};
     use crate::descriptors::Descriptors;
     use crate::stages::context::{Decisions, Limits};
     use actix_http::Method;
@@ -97,11 +104,11 @@
         let log = slog::Logger::root(slog::Discard, slog::o!());
         let backends = Backends::new(Duration::from_secs(1), Duration::from_secs(1), descriptors, log);
         let limits = Limits { open_requests, second_copies: false };
-        Rc::new(Context::new(Rc::downgrade(&decisions), Rc::default(), backends, limits, None))
+        Rc::new(Context::new(Rc::downgrade(&decisions), Rc::default(), backends, limits, Rc::default(), None))
     }
 
     fn call(id: &'static str) -> Call {
-        let (headers, body) = (HeaderMap::new(), Bytes::new());
+        let (headers, body) = (HeaderMap::new(), Body::Whole { bytes: Bytes::new(), _share: None });
         Call {
             id: HeaderValue::from_static(id),
             class: ClassId(0),
--- a/crates/proxy/src/stages/book.rs
+++ b/crates/proxy/src/stages/book.rs
@@ -106,6 +106,11 @@
         self.accounts.borrow().get(&request).is_none_or(|a| a.verdict.is_none())
     }
 
+    /// Gives an answer that has only begun. False: there was a verdict already.
+    pub fn begin_answer(&self, request: RequestId, answer: Option<Answer>) -> bool {
+        answer.is_some_and(|answer| self.finish(request, Verdict::Served(answer)))
+    }
+
     /// Gives the verdict. False: there was one already.
     pub fn finish(&self, request: RequestId, verdict: Verdict) -> bool {
         let mut accounts = self.accounts.borrow_mut();
--- a/crates/proxy/src/stages/context.rs
+++ b/crates/proxy/src/stages/context.rs
@@ -2,6 +2,7 @@
 
 use super::book::Book;
 use crate::backends::Backends;
+use crate::bodies::Budget;
 use crate::stats::Stats;
 use olivecart_decisions::Event;
 use std::cell::Cell;
@@ -32,6 +33,8 @@
     pub backends: Backends,
     /// Limits from the settings.
     pub limits: Limits,
+    /// The memory for long bodies.
+    pub budget: Rc<Budget>,
     /// The figures, where anybody reads them.
     pub stats: Option<Arc<Stats>>,
     /// Requests that are open here, and the most.
@@ -48,10 +51,11 @@
         book: Rc<Book>,
         backends: Backends,
         limits: Limits,
+        budget: Rc<Budget>,
         stats: Option<Arc<Stats>>,
     ) -> Context {
         let (open, most) = (Cell::new(0), Cell::new(usize::MAX));
-        Context { book, backends, limits, stats, open, most, decisions }
+        Context { book, backends, limits, budget, stats, open, most, decisions }
     }
 
     /// Another limit to the requests that are open here holds from now on.
--- a/crates/proxy/src/stages/intake.rs
+++ b/crates/proxy/src/stages/intake.rs
@@ -1,10 +1,9 @@
-//! Takes a request in: reads its body to the end and the few fields that the decisions need.
+//! Takes a request in: reads its body to the end, or the beginning of a long one, and the few fields that the decisions
+//! need.
 
-use crate::call::Call;
-use crate::platform::{
-    BODY_LIMIT,
-    client::{self, Reject},
-};
+use crate::bodies::{Budget, ON_THE_WAY, SHORT, Share, Upload};
+use crate::call::{Body, Call};
+use crate::platform::client::{self, Reject};
 use actix_http::Request;
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
@@ -13,41 +12,62 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tokio::time::timeout;
+
+/// So much of a long body is read before a backend is chosen. Danger: a client that sends slowly holds one of a backend's
+/// few connections from then on.
+const AHEAD: usize = 256 * 1024;
+/// A long body waits so long for memory. Until then its client is not read from, and waits too.
+const ROOM: Duration = Duration::from_millis(1500);
 
 /// The request as a call, or why it is not one. Its time runs from its last byte.
-pub async fn take(mut request: Request, site: &RefCell<Site>) -> Result<Call, Reject> {
+pub async fn take(mut request: Request, site: &RefCell<Site>, budget: &Rc<Budget>) -> Result<Call, Reject> {
     let fields = client::fields(request.head())?;
-    let body = body(&mut request).await?;
-    let arrived = Instant::now();
-    let site = site.borrow();
-    let class = site.classes.get(&fields.class).ok_or_else(client::unknown_class)?;
-    let whole = || Duration::from_nanos(site.settings.classes[class as usize].give_up);
-    let left = fields.left.unwrap_or_else(whole);
-    let tenant = fields.tenant.and_then(|t| site.tenants.get(&t)).map(|t| TenantId(t as u16));
+    let (class, left) = {
+        let site = site.borrow();
+        let class = site.classes.get(&fields.class).ok_or_else(client::unknown_class)?;
+        let whole = || Duration::from_nanos(site.settings.classes[class as usize].give_up);
+        (ClassId(class as u16), fields.left.unwrap_or_else(whole))
+    };
+    let body = body(&mut request, fields.length, left, budget).await?;
+    let deadline = Instant::now() + left;
+    let tenant = fields.tenant.and_then(|t| site.borrow().tenants.get(&t)).map(|t| TenantId(t as u16));
     let payload = Rc::new(client::payload(request.head(), body));
-    let (class, deadline) = (ClassId(class as u16), arrived + left);
     let authority = request.head().uri.authority().cloned(); // few have one: nothing is copied for the others
     Ok(Call { id: fields.id, class, tenant, retry: fields.retry, deadline, authority, payload })
 }
 
-async fn body(request: &mut Request) -> Result<Bytes, Reject> {
+async fn body(
+    request: &mut Request,
+    length: Option<u64>,
+    patience: Duration,
+    budget: &Rc<Budget>,
+) -> Result<Body, Reject> {
     let mut stream = request.take_payload();
-    let mut whole = BytesMut::new();
-    let mut first = Bytes::new();
-    while let Some(chunk) = stream.next().await {
-        let chunk = chunk.map_err(|_| Reject::Broken)?;
-        if whole.len() + first.len() + chunk.len() > BODY_LIMIT {
-            return Err(Reject::TooLarge);
-        }
+    let (mut first, mut whole, mut share): (Bytes, BytesMut, Option<Share>) = Default::default();
+    while let Some(part) = stream.next().await {
+        let part = part.map_err(|_| Reject::Broken)?;
         // A body in one piece, as most are, is kept as the very bytes that came.
         match (first.is_empty(), whole.is_empty()) {
-            (true, true) => first = chunk,
+            (true, true) => first = part,
             (_, true) => {
                 whole.extend_from_slice(&std::mem::take(&mut first));
-                whole.extend_from_slice(&chunk);
+                whole.extend_from_slice(&part);
             }
-            _ => whole.extend_from_slice(&chunk),
+            _ => whole.extend_from_slice(&part),
+        }
+        let came = first.len() + whole.len();
+        if came > SHORT && share.is_none() {
+            let room = timeout(ROOM, budget.wait(AHEAD + ON_THE_WAY)).await;
+            share = Some(room.map_err(|_| Reject::NoRoom)?);
+        }
+        // One that will not fit goes on at once.
+        let long = came > AHEAD || length.is_some_and(|length| length > AHEAD as u64);
+        if let Some(share) = share.take_if(|_| long) {
+            let held = vec![first, whole.freeze()].into_iter().filter(|part| !part.is_empty()).collect();
+            return Ok(Body::Streamed(Rc::new(Upload::new(length, held, stream, patience, share))));
         }
     }
-    Ok(if whole.is_empty() { first } else { whole.freeze() })
+    let bytes = if whole.is_empty() { first } else { whole.freeze() };
+    Ok(Body::Whole { bytes, _share: share })
 }
--- a/crates/proxy/src/stages/send.rs
+++ b/crates/proxy/src/stages/send.rs
@@ -1,35 +1,55 @@
 //! One attempt on one connection, and exactly one outcome for it.
 
+use super::admit::MARGIN;
 use super::book::Attempt;
 use super::context::Context;
 use crate::answer::Seen;
 use crate::backends::Lease;
-use crate::call::{Answer, Payload};
-use crate::platform::{BODY_LIMIT, backend};
+use crate::bodies::{Feed, LONGEST, ON_THE_WAY, SHORT, Upload, feed};
+use crate::call::{Answer, AnswerBody, Body, Payload, Verdict};
+use crate::platform::backend;
 use actix_http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
-use actix_http::{Method, StatusCode};
+use actix_http::{Method, StatusCode, Version};
 use awc::SendClientRequest;
 use awc::error::{ConnectError, PayloadError, SendRequestError};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
 use olivecart_decisions::{AttemptEnd, EndpointId, Event, Load, Outcome, RequestId};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::time::sleep_until;
+use tokio::time::{sleep_until, timeout};
 
 /// Longest wait for a probe's answer. A probe is answered beside the queue, so that one taking longer than
 /// any round trip tells of a machine that hangs.
 const PROBE_LIMIT: Duration = Duration::from_millis(400);
+/// An answer whose head says that it is long goes on this long after its head at the latest. Before, what is spoilt
+/// can still be told from what is slow.
+const HELD_BACK: Duration = Duration::from_millis(250);
+/// A long body of which nothing moves for so long has ended, whoever stands still.
+const STILL: Duration = Duration::from_secs(10);
 
 /// What an exchange came to.
 struct End {
     outcome: Outcome,
     answer: Option<Answer>,
     load: Option<Load>,
+    /// The rest of an answer that has only begun.
+    rest: Option<Box<Rest>>,
+}
+
+/// An answer that has begun to go on.
+struct Rest {
+    feed: Feed,
+    lease: Lease,
+    response: awc::ClientResponse,
+    closes: bool,
+    /// Bytes of the body so far.
+    came: u64,
 }
 
 impl From<Outcome> for End {
     fn from(outcome: Outcome) -> End {
-        End { outcome, answer: None, load: None }
+        End { outcome, answer: None, load: None, rest: None }
     }
 }
 
@@ -38,20 +58,86 @@
     let began = Instant::now();
     let lease = context.backends.lease(endpoint);
     let seen = lease.as_ref().map(|lease| lease.seen.clone());
-    let exchange = exchange(&context, endpoint, lease, &attempt.payload, attempt.until);
-    let end = tokio::select! {
-        biased;
-        _ = &mut attempt.cancelled => Outcome::Cancelled.into(),
-        end = exchange => end,
-        () = sleep_until(attempt.until.into()) => match seen {
-            // Time ran out before there was a connection to write to.
-            Some(seen) if !seen.connected.get() => Outcome::ConnectFailed.into(),
-            _ => Outcome::Timeout.into(),
-        },
+    let upload = match &attempt.payload.body {
+        Body::Streamed(upload) => Some(upload.clone()),
+        Body::Whole { .. } => None,
+    };
+    let (mut lets_go, mut starts) = (upload.is_some(), began);
+    let end = {
+        let exchange = exchange(&context, endpoint, lease, &attempt.payload, attempt.until);
+        let expires = expires(upload.as_deref(), attempt.until);
+        tokio::pin!(exchange, expires);
+        loop {
+            tokio::select! {
+                biased;
+                _ = &mut attempt.cancelled => break Outcome::Cancelled.into(),
+                () = let_go(upload.as_deref()), if lets_go => {
+                    lets_go = false;
+                    begun(&context, &attempt);
+                }
+                end = &mut exchange => break end,
+                () = &mut expires => break match &seen {
+                    // Time ran out before there was a connection to write to.
+                    Some(seen) if !seen.connected.get() => Outcome::ConnectFailed.into(),
+                    _ => Outcome::Timeout.into(),
+                },
+            }
+        }
     };
     // The exchange is dropped by now, and with it the connection of an attempt that was given up: only then
     // may the decisions hear of it, since they may send the request elsewhere at once.
-    book(&context, &attempt, endpoint, began.elapsed(), end);
+    if let Some(upload) = &upload {
+        starts = upload.ended_at().unwrap_or(began); // a backend starts when the last byte is there
+        if end.answer.is_none() && upload.is_let_go() {
+            give_up(&context, &attempt, &end, upload);
+        }
+    }
+    let took = starts.elapsed();
+    let end = match end {
+        End { rest: Some(rest), answer, load, .. } => {
+            begun(&context, &attempt);
+            let went = context.book.begin_answer(attempt.request, answer);
+            let outcome =
+                if went { pass_on(&context, *rest, &mut attempt).await } else { Outcome::Cancelled };
+            End { load, ..outcome.into() }
+        }
+        end => end,
+    };
+    book(&context, &attempt, endpoint, took, end);
+}
+
+/// What of a request's body is not held any more can't be sent again: the decisions are not asked what to do, and the
+/// client is told at once. Without its last byte it never ran.
+fn give_up(context: &Context, attempt: &Attempt, end: &End, upload: &Upload) {
+    let never_ran = end.outcome.never_ran() || !upload.is_whole();
+    let verdict = if never_ran { Verdict::Refused { come_back: Duration::ZERO } } else { Verdict::Failed };
+    context.book.finish(attempt.request, verdict);
+}
+
+/// Nothing else may be tried for the request from now on, and no timer runs for it.
+fn begun(context: &Context, attempt: &Attempt) {
+    context.tell(Event::Begun { request: attempt.request, attempt: attempt.number });
+}
+
+async fn let_go(upload: Option<&Upload>) {
+    match upload {
+        Some(upload) => upload.lets_go().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Resolves when an attempt's time is up. That of a body that is still coming runs from its last byte, and until then
+/// it must not stand still.
+async fn expires(upload: Option<&Upload>, until: Instant) {
+    let Some(upload) = upload else { return sleep_until(until.into()).await };
+    let last_byte = async {
+        let deadline = upload.ends().await;
+        sleep_until(deadline.checked_sub(MARGIN).unwrap_or(deadline).into()).await;
+    };
+    tokio::select! {
+        () = last_byte => {}
+        () = upload.stands_still(STILL) => {}
+    }
 }
 
 fn book(context: &Context, attempt: &Attempt, endpoint: EndpointId, took: Duration, end: End) {
@@ -85,24 +171,35 @@
     let Some(lease) = lease else { return Outcome::Moot.into() };
     let left = until.saturating_duration_since(Instant::now());
     let request = backend::request(&lease.client, lease.addr, payload, left);
-    let bodiless = payload.body.is_empty() && matches!(payload.method, Method::GET | Method::HEAD);
     lease.seen.bodiless.set(payload.method == Method::HEAD);
-    let sent = if bodiless { request.send() } else { request.send_body(payload.body.clone()) };
     let (seen, kept) = (lease.seen.clone(), lease.kept);
     seen.tries.replace(context.stats.clone());
-    let received = whole(context, lease, &payload.method, sent).await;
+    let sent = match &payload.body {
+        Body::Whole { bytes, .. }
+            if bytes.is_empty() && matches!(payload.method, Method::GET | Method::HEAD) =>
+        {
+            request.send()
+        }
+        Body::Whole { bytes, .. } => request.send_body(bytes.clone()),
+        Body::Streamed(upload) => {
+            let tries = seen.tries.take(); // counted with its last byte
+            request.send_body(upload.body(move || tries.iter().for_each(|stats| stats.tried())))
+        }
+    };
+    let received = receive(context, lease, &payload.method, sent).await;
     let replaced = seen.replaced.take();
     let broke = matches!(received, Err(Outcome::Reset)) && kept && !replaced;
     if broke || kept && replaced {
         context.backends.ended_one(endpoint);
     }
     match received {
-        Ok((head, body)) => {
+        Ok((head, body, rest)) => {
             let outcome = backend::outcome(head.status, &head.headers);
             let load = backend::load(&head.headers);
             let passed_on =
                 || Answer { status: head.status, headers: backend::passed_on(&head.headers), body };
-            End { outcome, answer: backend::is_final(head.status).then(passed_on), load }
+            let answer = backend::is_final(head.status).then(passed_on);
+            End { outcome, answer, load, rest }
         }
         // That a kept connection broke tells of the connection, not of whether the backend is there.
         Err(_) if broke => Outcome::Error.into(),
@@ -115,30 +212,141 @@
     headers: HeaderMap,
 }
 
-/// The whole answer, with its connection given back; or what its lack means. Danger: an answer that begins
-/// and never ends holds the request until its deadline.
-async fn whole(
+impl Head {
+    fn of(response: &awc::ClientResponse) -> Head {
+        Head { status: response.status(), headers: response.headers().clone() }
+    }
+
+    fn closes(&self) -> bool {
+        self.headers.get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"))
+    }
+
+    fn length(&self) -> Option<u64> {
+        self.headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.trim().parse().ok())
+    }
+}
+
+/// The whole answer with its connection given back, or the beginning of a long one; or what its lack means. Danger: an
+/// answer that begins and never ends holds the request until its deadline.
+async fn receive(
     context: &Context,
     lease: Lease,
     method: &Method,
     sent: SendClientRequest,
-) -> Result<(Head, Bytes), Outcome> {
+) -> Result<(Head, AnswerBody, Option<Box<Rest>>), Outcome> {
     let seen = lease.seen.clone();
     let received = async {
         let mut response = sent.await.map_err(|e| failure(&e, &seen))?;
-        let body = whole_body(&seen, method, &mut response).await?;
-        Ok((Head { status: response.status(), headers: response.headers().clone() }, body))
+        let head = Head::of(&response);
+        let long =
+            if backend::is_final(head.status) && *method != Method::HEAD { head.length() } else { None };
+        if long.is_some_and(|length| length > LONGEST) {
+            return Err(Outcome::Error);
+        }
+        let (body, more) = beginning(&seen, &mut response, long.unwrap_or(0)).await?;
+        if !more {
+            is_whole(&seen, method, &response, body.len() as u64)?;
+        } else if !backend::is_final(head.status) {
+            return Err(Outcome::Error); // a long error is of no use to anybody
+        }
+        Ok((head, body, more.then_some(response)))
     };
-    let (head, body) = tokio::select! {
+    let (head, body, response) = tokio::select! {
         biased;
         received = received => received?,
         () = seen.stalls() => return Err(Outcome::Error),
     };
-    let closes = head.headers.get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
-    if !closes {
-        context.backends.give_back(lease);
+    let closes = head.closes();
+    let Some(response) = response else {
+        if !closes {
+            context.backends.give_back(lease);
+        }
+        return Ok((head, body.into(), None));
+    };
+    // Where there is no memory the backend waits. Its time goes on.
+    let share = context.budget.wait(ON_THE_WAY).await;
+    let (feed, download) = feed(head.length(), share);
+    let came = body.len() as u64;
+    feed.put(body).await; // there is room for the first
+    let rest = Box::new(Rest { feed, lease, response, closes, came });
+    Ok((head, AnswerBody::Streamed(download), Some(rest)))
+}
+
+/// The body; or the beginning of one that is too long to be held, and whether there is more.
+async fn beginning(
+    seen: &Seen,
+    response: &mut awc::ClientResponse,
+    length: u64,
+) -> Result<(Bytes, bool), Outcome> {
+    let held_back = Instant::now() + HELD_BACK;
+    let (mut first, mut whole) = (Bytes::new(), BytesMut::new());
+    loop {
+        let came = (first.len() + whole.len()) as u64;
+        let part = if length > SHORT as u64 && came > 0 {
+            tokio::select! {
+                biased;
+                part = response.next() => part,
+                () = sleep_until(held_back.into()) => break,
+            }
+        } else {
+            response.next().await
+        };
+        let Some(part) = part else {
+            return Ok((if whole.is_empty() { first } else { whole.freeze() }, false));
+        };
+        let part = part.map_err(|e| broken(&e, seen))?;
+        // A body in one piece, as most are, is kept as the very bytes that came.
+        match (first.is_empty(), whole.is_empty()) {
+            (true, true) => first = part,
+            (_, true) => {
+                whole.extend_from_slice(&std::mem::take(&mut first));
+                whole.extend_from_slice(&part);
+            }
+            _ => whole.extend_from_slice(&part),
+        }
+        if first.len() + whole.len() > SHORT {
+            break;
+        }
+    }
+    Ok((if whole.is_empty() { first } else { whole.freeze() }, true))
+}
+
+/// Passes on the rest of an answer, at the pace of its reader.
+async fn pass_on(context: &Context, rest: Rest, attempt: &mut Attempt) -> Outcome {
+    let Rest { feed, lease, mut response, closes, mut came } = rest;
+    let (seen, method) = (lease.seen.clone(), attempt.payload.method.clone());
+    let passes = async {
+        loop {
+            let part = match timeout(STILL, response.next()).await {
+                Err(_) => return Outcome::Timeout,
+                Ok(Some(Err(e))) => return broken(&e, &seen),
+                Ok(Some(Ok(part))) => part,
+                Ok(None) => break,
+            };
+            came += part.len() as u64;
+            if came > LONGEST {
+                return Outcome::Error;
+            }
+            match timeout(STILL, feed.put(part)).await {
+                Ok(true) => {}
+                Ok(false) | Err(_) => return Outcome::Cancelled, // its reader left, or stands still
+            }
+        }
+        if let Err(outcome) = is_whole(&seen, &method, &response, came) {
+            return outcome;
+        }
+        feed.end().await;
+        if !closes {
+            context.backends.give_back(lease);
+        }
+        Outcome::Ok
+    };
+    tokio::select! {
+        biased;
+        _ = &mut attempt.cancelled => Outcome::Cancelled,
+        outcome = passes => outcome,
+        () = feed.unread() => Outcome::Cancelled, // its reader left while the backend was silent
     }
-    Ok((head, body))
 }
 
 /// What an attempt without an answer means. awc says `Disconnected` of a connection that ended while the
@@ -149,31 +357,28 @@
         _ if seen.spoilt.get() => Outcome::Error,
         SendRequestError::Connect(ConnectError::Disconnected) => Outcome::Reset,
         SendRequestError::Connect(_) => Outcome::ConnectFailed,
+        SendRequestError::Body(_) => Outcome::Cancelled, // the client's body broke off, and the call with it
         _ => Outcome::Reset,
     }
 }
 
-/// The body, if it came whole. awc ends a body quietly where its connection ended in the middle of it, so
-/// the length is compared, and a chunked body is not whole if the stream ended before its last chunk. An
-/// answer that tells no length could only be told from a part of one by its connection's end.
-async fn whole_body(
-    seen: &Seen,
-    method: &Method,
-    response: &mut awc::ClientResponse,
-) -> Result<Bytes, Outcome> {
-    let body = match response.body().limit(BODY_LIMIT).await {
-        Ok(body) => body,
-        Err(PayloadError::Overflow) => return Err(Outcome::Error),
-        Err(_) if seen.spoilt.get() => return Err(Outcome::Error),
-        Err(_) => return Err(Outcome::Reset),
-    };
-    let length: Option<usize> =
-        response.headers().get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.trim().parse().ok());
-    match length {
-        _ if *method == Method::HEAD => Ok(body),
-        Some(length) if body.len() == length => Ok(body),
-        None if !response.headers().contains_key(TRANSFER_ENCODING) => Err(Outcome::Error),
-        None if seen.whole() => Ok(body),
+/// What a body that can't be read further means.
+fn broken(_: &PayloadError, seen: &Seen) -> Outcome {
+    if seen.spoilt.get() { Outcome::Error } else { Outcome::Reset }
+}
+
+/// Whether a body that ended is whole. awc ends a body quietly where its connection ended in the middle of it, so
+/// the length is compared, and a chunked body is not whole if the stream ended before its last chunk. One without
+/// either is whole if the backend ended its connection after it, as its head has to say.
+fn is_whole(seen: &Seen, method: &Method, response: &awc::ClientResponse, came: u64) -> Result<(), Outcome> {
+    match response.headers().get(CONTENT_LENGTH) {
+        _ if *method == Method::HEAD => Ok(()),
+        Some(length) if length.to_str().is_ok_and(|l| l.trim().parse() == Ok(came)) => Ok(()),
+        None if !response.headers().contains_key(TRANSFER_ENCODING) => {
+            let ends = response.version() == Version::HTTP_10 && seen.ended.get();
+            if ends { Ok(()) } else { Err(Outcome::Error) }
+        }
+        None if seen.whole() => Ok(()),
         _ => Err(Outcome::Reset),
     }
 }
@@ -187,10 +392,11 @@
         lease.seen.bodiless.set(false);
         lease.seen.tries.take(); // a probe is no attempt
         let sent = backend::probe(&lease.client, lease.addr).send();
-        match whole(&context, lease, &Method::GET, sent).await {
-            Ok((head, _)) => {
+        match receive(&context, lease, &Method::GET, sent).await {
+            Ok((_, _, Some(_))) => Outcome::Error.into(), // no probe has so long an answer
+            Ok((head, ..)) => {
                 let outcome = backend::outcome(head.status, &head.headers);
-                End { outcome, answer: None, load: backend::load(&head.headers) }
+                End { load: backend::load(&head.headers), ..outcome.into() }
             }
             Err(outcome) => outcome.into(),
         }
--- a/crates/proxy/src/upgrade.rs
+++ b/crates/proxy/src/upgrade.rs
@@ -1,5 +1,6 @@
 //! What this process does for the one that takes over from it, and what it takes over itself.
 
+use crate::bodies::Budget;
 use crate::clusters::Clusters;
 use crate::config::Sockets;
 use crate::console::call::Call;
@@ -60,27 +61,40 @@
 pub struct Process {
     gate: Rc<Gate>,
     clusters: Rc<Clusters>,
-    listener: TcpListener,
+    /// There where another process may take over.
+    listener: Option<TcpListener>,
     sockets: Cell<Sockets>,
+    budget: Rc<Budget>,
+    /// The whole of it.
+    bodies: Cell<usize>,
     parts: Cell<u32>,
 }
 
 impl Process {
     /// The whole limits are its own.
-    pub fn new(gate: Rc<Gate>, clusters: Rc<Clusters>, listener: TcpListener, sockets: Sockets) -> Process {
-        Process { gate, clusters, listener, sockets: Cell::new(sockets), parts: Cell::new(1) }
+    pub fn new(
+        gate: Rc<Gate>,
+        clusters: Rc<Clusters>,
+        listener: Option<TcpListener>,
+        sockets: Sockets,
+        (budget, bodies): (Rc<Budget>, usize),
+    ) -> Process {
+        let (sockets, bodies, parts) = (Cell::new(sockets), Cell::new(bodies), Cell::new(1));
+        Process { gate, clusters, listener, sockets, budget, bodies, parts }
     }
 
     /// Other limits hold from now on, of which it keeps to its part.
-    pub fn adopt(&self, sockets: Sockets) {
+    pub fn adopt(&self, sockets: Sockets, bodies: usize) {
         self.sockets.set(sockets);
+        self.bodies.set(bodies);
         self.share(self.parts.get());
     }
 }
 
 impl Host for Process {
     fn listener(&self) -> io::Result<OwnedFd> {
-        Ok(self.listener.try_clone()?.into())
+        let listener = self.listener.as_ref().ok_or(io::ErrorKind::Unsupported)?;
+        Ok(listener.try_clone()?.into())
     }
 
     fn state(&self) -> State {
@@ -96,6 +110,7 @@
         let sockets = self.sockets.get().part(parts);
         self.gate.adopt(sockets);
         self.clusters.limit_connections(sockets.backends);
+        self.budget.adopt(self.bodies.get() / parts.max(1) as usize);
     }
 
     fn apply(&self, change: &ByHand) {
