--- a/crates/proxy/src/console/call.rs
+++ b/crates/proxy/src/console/call.rs
@@ -35,7 +35,7 @@
     LongBody,
     /// Its body has no length.
     #[error("a body needs a Content-Length")]
-    NoLength,
+    LengthRequired,
     /// Nothing is there.
     #[error("{0}: no such call; there are /_ready, /_vars, /_backends/detach and /_backends/attach")]
     Path(String),
@@ -91,7 +91,7 @@
         _ => {}
     }
     let body = &came[length..];
-    let Some(length) = body_length(head.headers)? else { return Err(No::NoLength) };
+    let Some(length) = body_length(head.headers)? else { return Err(No::LengthRequired) };
     if body.len() < length {
         return Ok(None);
     }
@@ -104,7 +104,7 @@
 fn body_length(headers: &[httparse::Header]) -> Result<Option<usize>, No> {
     let said = |name: &'static str| headers.iter().filter(move |h| h.name.eq_ignore_ascii_case(name));
     if said("transfer-encoding").next().is_some() {
-        return Err(No::NoLength);
+        return Err(No::LengthRequired);
     }
     let mut lengths = said("content-length").map(|h| std::str::from_utf8(h.value).unwrap_or("").trim());
     let Some(length) = lengths.next() else { return Ok(None) };
@@ -124,7 +124,7 @@
             No::Unreadable(_) | No::Form(_) => "400 Bad Request",
             No::Path(_) | No::Unknown(_) => "404 Not Found",
             No::Method(..) => "405 Method Not Allowed",
-            No::NoLength => "411 Length Required",
+            No::LengthRequired => "411 Length Required",
             No::LongBody => "413 Content Too Large",
             No::LongHead => "431 Request Header Fields Too Large",
             No::NotReady | No::Busy => "503 Service Unavailable",
