--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -17,6 +17,9 @@
 /// what each connection holds beside them.
 const BODIES: f64 = 0.4;
 
+/// Least memory: 4 MB at rest, and some 40 kB for each connection of a client's and a backend's.
+const LEAST_MEMORY_MB: f64 = 16.0;
+
 /// Fewest descriptors for clients and backends together.
 const LEAST_SOCKETS: usize = 32;
 
@@ -304,8 +307,8 @@
 /// `console`: those that are set aside for operators' calls.
 fn share_out(limits: &Limits, console: usize) -> Result<Sockets, ConfigError> {
     let bad = |what| Err(ConfigError::Value("limits.sockets", limits.sockets.to_string(), what));
-    if limits.memory_mb < 32.0 {
-        return Err(ConfigError::Value("limits.memory_mb", limits.memory_mb.to_string(), "32 or more"));
+    if limits.memory_mb < LEAST_MEMORY_MB {
+        return Err(ConfigError::Value("limits.memory_mb", limits.memory_mb.to_string(), "16 or more"));
     }
     match limits.sockets.checked_sub(OWN_SOCKETS + console) {
         Some(left) if left >= LEAST_SOCKETS => Ok(Sockets { clients: left / 2, backends: left - left / 2 }),
