Let calls that were called off as overdue count in how much durations stray

Cause: logic.rs learn() looked at answers only. What is called off took longer still, so that with calls called off the durations look as they were and the time after which a call is overdue never grows; and a copy that sees an endpoint once in four seconds has no other answer of it meanwhile, so that request_due() takes each slow call for one that hangs. Change: such a call counts in the class's deviation. Test: where_calls_have_become_slow_they_are_not_called_off_for_good; one older test passed a date as a duration.

--- a/crates/decisions/src/logic.rs
+++ b/crates/decisions/src/logic.rs
@@ -441,8 +441,7 @@
             out.push(Action::Send { request: id, endpoint: e.entry.id, cap: 0 });
             request.tries.push(Try { slot, sent: now, done: None });
             self.held.remove(&id);
-            let span = self.settings.rules.must_ask_in as f64;
-            self.sent_work.add(now, span, request.work);
+            self.sent_work.add(now, self.settings.rules.must_ask_in as f64, request.work);
             self.set_timer(overdue, Timer::Request(id), out);
         }
         self.open.insert(id, request);
@@ -495,22 +494,24 @@
 
     /// What the end of an attempt tells about its endpoint and its class.
     fn learn(&mut self, slot: usize, end: &AttemptEnd, out: &mut Vec<Action>) {
-        let (now, took, pause) = (self.now, end.took as f64, self.mean_work() as Nanos);
-        if let (Outcome::Ok, Some(request)) = (end.outcome, self.open.get(&end.request)) {
-            let aim = self.settings.classes[request.class].aim as f64;
+        let (now, pause, ok) = (self.now, self.mean_work() as Nanos, end.outcome == Outcome::Ok);
+        // Danger: what was called off took longer still; left out, nothing strays, and all is called off.
+        let called_off = end.outcome == Outcome::Cancelled && !end.over;
+        if let Some(request) = self.open.get(&end.request).filter(|_| ok || called_off) {
+            let (aim, took) = (self.settings.classes[request.class].aim as f64, end.took as f64);
             let (norm, ratio) = (&mut self.norms[request.class], took / request.work.max(1.0));
             // What a cold endpoint has answered in its usual time it may be sent again: that much it can do.
             // Danger: by age alone a deploy leaves most of the load to the few that are warm, and they jam.
-            self.endpoints[slot].budget += if ratio < USUAL_RATIO { request.work } else { 0.0 };
+            self.endpoints[slot].budget += if ok && ratio < USUAL_RATIO { request.work } else { 0.0 };
             let slow = &mut self.endpoints[slot].slow;
-            *slow += LEARN * (ratio.min(LONGEST_RATIO) - *slow);
+            *slow += if ok { LEARN * (ratio.min(LONGEST_RATIO) - *slow) } else { 0.0 };
             // The first answers count in full: budgets are in units of this mean and must not shrink later.
             norm.seen += 1.0;
             let pace = (1.0 / norm.seen).max(LEARN / 4.0);
             norm.deviation += pace * ((ratio - 1.0).abs() - norm.deviation);
-            norm.mean += pace * (took / request.scale - norm.mean);
-            self.served.add(now, aim, 1.0);
-            self.recent += LEARN * (took / aim - self.recent);
+            norm.mean += if ok { pace * (took / request.scale - norm.mean) } else { 0.0 };
+            self.served.add(now, aim, f64::from(u8::from(ok)));
+            self.recent += if ok { LEARN * (took / aim - self.recent) } else { 0.0 };
         }
         let level = self.listed().map(|e| e.blame).sum::<f64>() / self.order.len().max(1) as f64;
         let e = &mut self.endpoints[slot];
--- a/crates/decisions/tests/failures.rs
+++ b/crates/decisions/tests/failures.rs
@@ -301,7 +301,7 @@
         b.now = at;
         let overdue = b.tell(Event::Timer(timer));
         assert!(overdue.contains(&Action::Cancel { request: id, attempt }), "{overdue:?}");
-        actions = b.end(id, attempt, endpoint, Outcome::Cancelled, at);
+        actions = b.end(id, attempt, endpoint, Outcome::Cancelled, waits[attempt as usize]);
     }
     assert_eq!([waits[1] / waits[0], waits[2] / waits[1]], [2, 2], "{waits:?}");
 }
@@ -386,3 +386,51 @@
         b.end(id, 0, at, Outcome::ConnectFailed, MS);
     }
 }
+
+/// Requests one after another that take 200 or 400 ms, but every eighth so long on its first attempt; how many attempts
+/// were called off.
+fn called_off(b: &mut Bench, n: u64, slow: Nanos) -> usize {
+    let mut called_off = 0;
+    for number in 0..n {
+        let (id, mut actions) = b.request(10 * S);
+        for attempt in 0.. {
+            let at = sent(&actions).expect("a call at a time goes somewhere");
+            let usual = [200 * MS, 400 * MS][number as usize % 2];
+            let took = if attempt == 0 && number % 8 == 0 { slow } else { usual };
+            let (began, ends) = (b.now, b.now + took);
+            let due = |a: &Action| match a {
+                Action::SetTimer { at, timer: Timer::Request(_) } => Some(*at),
+                _ => None,
+            };
+            let overdue = actions.iter().find_map(due).filter(|due| *due < ends);
+            if let Some(due) = overdue {
+                b.now = due;
+                let calls_off = Action::Cancel { request: id, attempt };
+                if b.tell(Event::Timer(Timer::Request(id))).contains(&calls_off) {
+                    called_off += 1;
+                    actions = b.end(id, attempt, at, Outcome::Cancelled, due - began);
+                    continue;
+                }
+            }
+            b.now = ends;
+            b.end(id, attempt, at, Outcome::Ok, took);
+            break;
+        }
+    }
+    called_off
+}
+
+#[test]
+fn where_calls_have_become_slow_they_are_not_called_off_for_good() {
+    // One of many copies: it has no other answer from an endpoint while a call is out there, so that each slow one
+    // looks like one that hangs. Each that is called off wastes its work and is sent again, on a new connection; and
+    // if only what was answered counted, calls would look quick for ever.
+    let mut s = settings(Effect::Repeatable);
+    s.limits.second_copies = false;
+    s.classes[0].aim = 4 * S;
+    let mut b = Bench::new(s, list(40));
+    called_off(&mut b, 200, 400 * MS);
+    called_off(&mut b, 200, 900 * MS);
+    let later = called_off(&mut b, 200, 900 * MS);
+    assert!(later <= 2, "{later} of 25 slow ones called off");
+}
