Hand over what the decisions have learned in an upgrade

Cause: the new process begins with no rate (logic.rs sent_work), and cold_budget_allows() gives cold servers next to nothing of it; after a release they are most of the list. Change: decisions/src/knowledge.rs, taken and given whole with the list; one that started anew since is new. Ruled out: the door (0 requests ended there), calls by hand (none late, none left unused). Not taken: each process guessing a rate from its neighbours' size.

--- a/crates/decisions/src/decayed.rs
+++ b/crates/decisions/src/decayed.rs
@@ -5,8 +5,8 @@
 /// A sum whose parts fade exponentially over a time constant.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Decayed {
-    sum: f64,
-    at: Nanos,
+    pub(crate) sum: f64,
+    pub(crate) at: Nanos,
 }
 
 impl Decayed {
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -21,7 +21,7 @@
 mod logic;
 
 pub use interface::*;
-pub use logic::{Balancer, Standing};
+pub use logic::{Balancer, Knowledge, Standing};
 
 /// The README's example is compiled and run with the tests.
 #[cfg(doctest)]
--- a/crates/decisions/src/logic.rs
+++ b/crates/decisions/src/logic.rs
@@ -13,7 +13,7 @@
 
 #[path = "sight.rs"]
 mod sight; // a child, so that it sees what is private here
-pub use sight::Standing;
+pub use sight::{Knowledge, Standing};
 
 /// Calls an endpoint of ordinary speed may hold above the lowest count before the walk skips it. Under one:
 /// at full size an instance holds few calls, and a second one on a favourite is worse than an idle endpoint.
--- a/crates/decisions/src/sight.rs
+++ b/crates/decisions/src/sight.rs
@@ -3,6 +3,10 @@
 use super::Balancer;
 use crate::interface::{EndpointId, Nanos, State};
 
+#[path = "knowledge.rs"]
+mod knowledge; // also sees what is private
+pub use knowledge::Knowledge;
+
 /// How an instance sees an endpoint, as of the last event. Of several that hold, the first in this order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
--- a/crates/proxy/src/clusters.rs
+++ b/crates/proxy/src/clusters.rs
@@ -61,7 +61,7 @@
     pub fn start(config: Start, log: &Logger) -> Rc<Clusters> {
         let Start { site, clock, seed, descriptors, discovery, known, routing, budget, stats, taken_over } =
             config;
-        let State { list, out, back, .. } = taken_over.unwrap_or_default();
+        let State { list, knowledge, out, back, .. } = taken_over.unwrap_or_default();
         let shared = Rc::new(Shared {
             clock,
             site,
@@ -92,7 +92,7 @@
             clusters.limit(&name, &driver, &ClusterSettings::default());
             place.serve(driver.context.clone());
             match &list {
-                Some(list) => driver.take_over(&self::known(Some(list), log)),
+                Some(list) => driver.take_over(&self::known(Some(list), log), knowledge.as_ref()),
                 None => driver.follow(&self::known(known.as_deref(), log)),
             }
             clusters.registry = Some(driver);
@@ -124,8 +124,12 @@
 
     /// What the next process must know.
     pub fn state(&self) -> State {
-        let mut state =
-            State { list: self.registry.as_ref().map(|driver| driver.held_list()), ..State::default() };
+        let knowledge = self.registry.as_ref().map(|driver| driver.knowledge());
+        let mut state = State {
+            knowledge,
+            list: self.registry.as_ref().map(|driver| driver.held_list()),
+            ..State::default()
+        };
         for (out, back) in self.drivers().iter().map(|driver| driver.by_hand()) {
             state.out.extend(out);
             state.back.extend(back);
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -17,7 +17,8 @@
 use crate::stats::{Pool, Stats};
 use crate::trace;
 use olivecart_decisions::{
-    Action, Balancer, Discovery as Mode, Entry, Event, ListChange, Nanos, Settings, Standing, State, Timer,
+    Action, Balancer, Discovery as Mode, Entry, Event, Knowledge, ListChange, Nanos, Settings, Standing,
+    State, Timer,
 };
 use olivecart_settings::{Listed, Site};
 use slog::{Logger, debug, error, info};
@@ -125,12 +126,19 @@
         }
     }
 
-    /// Takes in the list as another process has it at this moment, and follows it at once: it is as good as told.
-    pub fn take_over(&self, list: &News) {
+    /// Takes in the list as another process has it at this moment and what its decisions have learned, and follows it
+    /// at once: it is as good as told.
+    pub fn take_over(&self, list: &News, knowledge: Option<&Knowledge>) {
         self.list(list, ListChange::Full);
+        knowledge.into_iter().for_each(|knowledge| self.balancer.borrow_mut().take_over(knowledge));
         self.watch(true);
     }
 
+    /// What the decisions have learned.
+    pub fn knowledge(&self) -> Knowledge {
+        self.balancer.borrow().knowledge()
+    }
+
     /// The list as it is held, in discovery's form.
     pub fn held_list(&self) -> String {
         let (overlay, site) = (self.overlay.borrow(), self.shared.site.borrow());
