--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -23,7 +23,8 @@
 const STILL: Duration = Duration::from_secs(2);
 /// A connection is kept this long between two requests.
 const IDLE: Duration = Duration::from_secs(10);
-/// When descriptors run short, one that is owed a request goes before an idle one after this long...
+/// When descriptors run short, one that has sent nothing of its request goes before an idle one after this long; and one
+/// that has sent some of it, after an idle one, when nothing more has come for so long...
 const SLOW: Duration = Duration::from_millis(250);
 /// ...and not at all before this: what an ordinary client sends is on its way.
 const FRESH: Duration = Duration::from_millis(20);
@@ -35,7 +36,12 @@
 /// All connections from clients.
 #[derive(Default)]
 pub struct Clients {
+    /// Those without a whole head, by when it began.
     owed: Queue,
+    /// Those of them that have sent nothing, by the same.
+    silent: Queue,
+    /// The others of them, by when some of it came last.
+    partial: Queue,
     /// Those with a body under way, by when some of it came last.
     uploads: Queue,
     idle: Queue,
@@ -49,7 +55,9 @@
 
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum State {
-    Owed(Place),
+    Silent(Place),
+    /// Since when, and when some of it came last.
+    Partial(Place, Place),
     Uploads(Place),
     InWork,
     Idle(Place),
@@ -93,7 +101,7 @@
             deaf: Cell::new(false),
             reader: RefCell::default(),
         });
-        client.becomes(State::Owed(self.place()));
+        client.becomes(State::Silent(self.place()));
         client
     }
 
@@ -118,16 +126,20 @@
         }
     }
 
-    /// Cuts off the one that can best be spared, if any can: whose request is long overdue, or else who lies
-    /// idle, since its client opens another connection when it needs one.
+    /// Cuts off the one that can best be spared, if any can: who connected a while ago and has sent nothing, or else who
+    /// lies idle, since its client opens another connection when it needs one, or else whose request has stopped.
+    /// Danger: an honest client may take 2 s for its request, while thousands come and send none.
     pub fn make_room(&self) {
         let over = |queue, age| Clients::first(queue).is_some_and(|a| a >= age);
-        if over(&self.owed, SLOW) {
-            Clients::cut_first(&self.owed);
-        } else if over(&self.idle, Duration::ZERO) {
-            Clients::cut_first(&self.idle);
-        } else if over(&self.owed, FRESH) {
-            Clients::cut_first(&self.owed);
+        let order = [
+            (&self.silent, SLOW),
+            (&self.idle, Duration::ZERO),
+            (&self.partial, SLOW),
+            (&self.silent, FRESH),
+            (&self.partial, FRESH),
+        ];
+        if let Some((queue, _)) = order.into_iter().find(|(queue, age)| over(queue, *age)) {
+            Clients::cut_first(queue);
         }
     }
 
@@ -177,7 +189,7 @@
     /// while it lingers for the client to read the answer, it can be cut off like one that sends nothing.
     pub fn turned_away(self: &Rc<Self>) {
         self.deaf.set(true);
-        self.becomes(State::Owed(self.all.place()));
+        self.becomes(State::Silent(self.all.place()));
     }
 
     /// Resolves when the client has gone.
@@ -190,14 +202,28 @@
     fn becomes(self: &Rc<Self>, state: State) {
         let all = &self.all;
         match self.state.replace(state) {
-            State::Owed(place) => _ = all.owed.borrow_mut().remove(&place),
+            State::Silent(since) => {
+                all.owed.borrow_mut().remove(&since);
+                all.silent.borrow_mut().remove(&since);
+            }
+            State::Partial(since, last) => {
+                all.owed.borrow_mut().remove(&since);
+                all.partial.borrow_mut().remove(&last);
+            }
             State::Uploads(place) => _ = all.uploads.borrow_mut().remove(&place),
             State::Idle(place) => _ = all.idle.borrow_mut().remove(&place),
             State::InWork => all.in_work.set(all.in_work.get() - 1),
             State::Gone => {}
         }
         match state {
-            State::Owed(place) => _ = all.owed.borrow_mut().insert(place, self.clone()),
+            State::Silent(since) => {
+                all.owed.borrow_mut().insert(since, self.clone());
+                all.silent.borrow_mut().insert(since, self.clone());
+            }
+            State::Partial(since, last) => {
+                all.owed.borrow_mut().insert(since, self.clone());
+                all.partial.borrow_mut().insert(last, self.clone());
+            }
             State::Uploads(place) => _ = all.uploads.borrow_mut().insert(place, self.clone()),
             State::Idle(place) => _ = all.idle.borrow_mut().insert(place, self.clone()),
             State::InWork => all.in_work.set(all.in_work.get() + 1),
@@ -232,7 +258,13 @@
             match &read {
                 Poll::Ready(Ok(())) if buf.filled().len() > before => {
                     match client.state.get() {
-                        State::Idle(_) => client.becomes(State::Owed(client.all.place())),
+                        State::Idle(_) => {
+                            let place = client.all.place();
+                            client.becomes(State::Partial(place, place));
+                        }
+                        State::Silent(since) | State::Partial(since, _) => {
+                            client.becomes(State::Partial(since, client.all.place()));
+                        }
                         State::Uploads(_) => client.becomes(State::Uploads(client.all.place())),
                         _ => {}
                     }
