--- a/crates/proxy/tests/proxy.rs
+++ b/crates/proxy/tests/proxy.rs
@@ -558,6 +558,7 @@
     play(&format!(
         "c send raw GET /slow HTTP/1.1\\r\\nHost: h\\r\\n
          {silent}
+         c1 expect closed
          c send raw X-Request-Id: slow\\r\\nX-Class: view\\r\\n\\r\\n
          a expect GET /slow
          a send 200 | yes
