--- a/crates/proxy/src/bodies/mod.rs
+++ b/crates/proxy/src/bodies/mod.rs
@@ -4,10 +4,12 @@
 
 mod budget;
 mod download;
+mod gathered;
 mod upload;
 
 pub use budget::{Budget, Share};
 pub use download::{Broken, Download, Feed, feed};
+pub use gathered::Gathered;
 pub use upload::Upload;
 
 /// Bodies up to this length are held whole: an answer is known to be good before any of it goes on, and a request can
--- a/crates/proxy/src/stages/intake.rs
+++ b/crates/proxy/src/stages/intake.rs
@@ -1,11 +1,10 @@
 //! Takes a request in: reads its body to the end, or the beginning of a long one, and the few fields that the decisions
 //! need.
 
-use crate::bodies::{Budget, ON_THE_WAY, SHORT, Share, Upload};
+use crate::bodies::{Budget, Gathered, ON_THE_WAY, SHORT, Share, Upload};
 use crate::call::{Body, Call};
 use crate::platform::client::{self, Reject};
 use actix_http::Request;
-use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use olivecart_decisions::{ClassId, TenantId};
 use olivecart_settings::Site;
@@ -44,19 +43,10 @@
     budget: &Rc<Budget>,
 ) -> Result<Body, Reject> {
     let mut stream = request.take_payload();
-    let (mut first, mut whole, mut share): (Bytes, BytesMut, Option<Share>) = Default::default();
+    let (mut gathered, mut share): (Gathered, Option<Share>) = Default::default();
     while let Some(part) = stream.next().await {
-        let part = part.map_err(|_| Reject::Broken)?;
-        // A body in one piece, as most are, is kept as the very bytes that came.
-        match (first.is_empty(), whole.is_empty()) {
-            (true, true) => first = part,
-            (_, true) => {
-                whole.extend_from_slice(&std::mem::take(&mut first));
-                whole.extend_from_slice(&part);
-            }
-            _ => whole.extend_from_slice(&part),
-        }
-        let came = first.len() + whole.len();
+        gathered.push(part.map_err(|_| Reject::Broken)?);
+        let came = gathered.len();
         if came > SHORT && share.is_none() {
             let room = timeout(ROOM, budget.wait(AHEAD + ON_THE_WAY)).await;
             share = Some(room.map_err(|_| Reject::NoRoom)?);
@@ -64,10 +54,9 @@
         // One that will not fit goes on at once.
         let long = came > AHEAD || length.is_some_and(|length| length > AHEAD as u64);
         if let Some(share) = share.take_if(|_| long) {
-            let held = vec![first, whole.freeze()].into_iter().filter(|part| !part.is_empty()).collect();
+            let held = vec![gathered.bytes()];
             return Ok(Body::Streamed(Rc::new(Upload::new(length, held, stream, patience, share))));
         }
     }
-    let bytes = if whole.is_empty() { first } else { whole.freeze() };
-    Ok(Body::Whole { bytes, _share: share })
+    Ok(Body::Whole { bytes: gathered.bytes(), _share: share })
 }
--- a/crates/proxy/src/stages/send.rs
+++ b/crates/proxy/src/stages/send.rs
@@ -5,14 +5,14 @@
 use super::context::Context;
 use crate::answer::Seen;
 use crate::backends::Lease;
-use crate::bodies::{Feed, LONGEST, ON_THE_WAY, SHORT, Upload, feed};
+use crate::bodies::{Feed, Gathered, LONGEST, ON_THE_WAY, SHORT, Upload, feed};
 use crate::call::{Answer, AnswerBody, Body, Payload, Verdict};
 use crate::platform::backend;
 use actix_http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use actix_http::{Method, StatusCode, Version};
 use awc::SendClientRequest;
 use awc::error::{ConnectError, PayloadError, SendRequestError};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::StreamExt;
 use olivecart_decisions::{AttemptEnd, EndpointId, Event, Load, Outcome, RequestId};
 use std::rc::Rc;
@@ -279,10 +279,9 @@
     length: u64,
 ) -> Result<(Bytes, bool), Outcome> {
     let held_back = Instant::now() + HELD_BACK;
-    let (mut first, mut whole) = (Bytes::new(), BytesMut::new());
+    let mut gathered = Gathered::default();
     loop {
-        let came = (first.len() + whole.len()) as u64;
-        let part = if length > SHORT as u64 && came > 0 {
+        let part = if length > SHORT as u64 && gathered.len() > 0 {
             tokio::select! {
                 biased;
                 part = response.next() => part,
@@ -291,24 +290,13 @@
         } else {
             response.next().await
         };
-        let Some(part) = part else {
-            return Ok((if whole.is_empty() { first } else { whole.freeze() }, false));
-        };
-        let part = part.map_err(|e| broken(&e, seen))?;
-        // A body in one piece, as most are, is kept as the very bytes that came.
-        match (first.is_empty(), whole.is_empty()) {
-            (true, true) => first = part,
-            (_, true) => {
-                whole.extend_from_slice(&std::mem::take(&mut first));
-                whole.extend_from_slice(&part);
-            }
-            _ => whole.extend_from_slice(&part),
-        }
-        if first.len() + whole.len() > SHORT {
+        let Some(part) = part else { return Ok((gathered.bytes(), false)) };
+        gathered.push(part.map_err(|e| broken(&e, seen))?);
+        if gathered.len() > SHORT {
             break;
         }
     }
-    Ok((if whole.is_empty() { first } else { whole.freeze() }, true))
+    Ok((gathered.bytes(), true))
 }
 
 /// Passes on the rest of an answer, at the pace of its reader.
--- a/crates/proxy/tests/console.rs
+++ b/crates/proxy/tests/console.rs
@@ -138,10 +138,10 @@
             Err(_) => std::thread::yield_now(), // not up yet
         }
     };
-    let idle: Vec<TcpStream> = (0..200)
+    let idle: Vec<TcpStream> = (0..200u32)
         .map(|n| {
             let mut stream = connect();
-            let _ = stream.write_all(if n % 2 == 0 { b"GET /_va" } else { b"" }); // cut off already, some of them
+            let _ = stream.write_all(if n.is_multiple_of(2) { b"GET /_va" } else { b"" }); // cut off already, some of them
             stream
         })
         .collect();
--- a/crates/proxy/tests/upgrade.rs
+++ b/crates/proxy/tests/upgrade.rs
@@ -170,7 +170,7 @@
                 assert!(head.starts_with("HTTP/1.1 200"), "{head}");
                 answered += 1;
                 let closes = head.to_lowercase().contains("connection: close");
-                kept = Some(stream).filter(|_| n % 2 == 0 && !closes);
+                kept = Some(stream).filter(|_| n.is_multiple_of(2) && !closes);
             }
             answered
         })
