Give a test of clusters ids that no other can be given by chance

A failed scenario now shows the proxy's log. Ruled out: a lost wake-up (the proxy told 0 open requests).

--- a/crates/proxy/tests/clusters.rs
+++ b/crates/proxy/tests/clusters.rs
@@ -268,11 +268,11 @@
          d expect GET /1
          c2 send GET /2
          c2 expect 503 retry-after=*
-         c3 send POST /3 X-Class=book X-Request-Id=r3 | x
+         c3 send POST /3 X-Class=book X-Request-Id=same | x
          e expect POST /3 | x
          d send 200 | 1
          c expect 200 | 1
-         c4 send GET /4 X-Request-Id=r3
+         c4 send GET /4 X-Request-Id=same
          c4 expect 409
          e send 200 | 3
          c3 expect 200 | 3",
--- a/crates/proxy/tests/scenario/mod.rs
+++ b/crates/proxy/tests/scenario/mod.rs
@@ -70,7 +70,8 @@
     let mut stage = Stage::set(known, settings, operators, console);
     for line in text.lines().map(str::trim).filter(|l| !l.is_empty()) {
         if let Err(what) = stage.step(line) {
-            panic!("at `{line}`: {what}");
+            let log: Vec<String> = stage.log.try_iter().collect();
+            panic!("at `{line}`: {what}; the log since: {log:#?}");
         }
     }
 }
