Give every address that tests leave free a loopback address for itself

The program had not started yet: a peer of another test had answered in its place. free_port() binds a port of 127.0.0.1, frees it and hands it out; until the program binds it, the next who asks the system for any port may get it, and peers answer /health/live with 200.

Ruled out: a console that is late. It is bound before the clients' listener (cli.rs), which answers /health/live. At fault: tests/scenario/mod.rs, free_port.

--- a/crates/proxy/tests/scenario/mod.rs
+++ b/crates/proxy/tests/scenario/mod.rs
@@ -30,7 +30,7 @@
 use plane::Plane;
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::unix::process::ExitStatusExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -262,9 +262,15 @@
     console: Option<SocketAddr>,
 }
 
-/// Where nobody listens: the port was free a moment ago.
+/// Where nobody listens, and nobody else of this run will: each has a loopback address for itself.
+/// Danger: a port of 127.0.0.1 that was free a moment ago may go to a peer of another test, which then answers in
+/// place of a program that has not started yet.
 pub fn free_port() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    static NUMBER: AtomicU32 = AtomicU32::new(0);
+    let (process, number) = (std::process::id(), NUMBER.fetch_add(1, Ordering::Relaxed));
+    let [.., high, low] = process.to_be_bytes();
+    let address = Ipv4Addr::new(127, high % 254 + 1, low, (number % 254 + 1) as u8);
+    let listener = TcpListener::bind((address, 0)).expect("a port");
     listener.local_addr().expect("bound")
 }
 
