Hold idle callers' connections while a proxy is leaving, and let mere visitors go first

There clients can only use connections they have, and requests wait for the next idle one (followed by connection: as soon as one was answered the next came on it), but the crowd that goes on connecting, 24 a second of which each stands for 2.5 s with part of a head, had them cut off: make_room() took idle ones before those that stall. 1,598 of 2,639 heads were GET /health/ready on connections that never bring more and lay in the same queue. Ruled out: accept standing still (accepted as fast as the crowd connects), the fixed 1.5 s (requests dry up before it). Pause within an honest slow head: 0.54 s at most of 44 seen, hence 1 s for who stalls. Change: connections that brought no request are the first idle ones to go; while a proxy is leaving, callers' idle ones go only where no silent, visiting or stalled one can. At fault: clients.rs, order in make_room_at(). Test: who_has_called_keeps_an_idle_connection_..., fails without either part.

--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -27,6 +27,9 @@
 const SLOW: Duration = Duration::from_millis(250);
 /// ...and not at all before this: what an ordinary client sends is on its way.
 const FRESH: Duration = Duration::from_millis(20);
+/// Where idle ones are held, one of whose request nothing more has come for so long goes before them: who writes a
+/// whole head within 2 s pauses for less.
+const STALLED: Duration = Duration::from_secs(1);
 
 /// Since when, and a number that tells those of one instant apart.
 type Place = (Instant, u64);
@@ -43,12 +46,17 @@
     partial: Queue,
     /// Those with a body under way, by when some of it came last.
     uploads: Queue,
+    /// Those that have brought a request...
     idle: Queue,
+    /// ...and those that have only asked whether all is well.
+    visits: Queue,
     next: Cell<u64>,
     open: Cell<usize>,
     in_work: Cell<usize>,
     /// Idle ones end.
     retiring: Cell<bool>,
+    /// Idle ones can't be replaced by their clients.
+    holding: Cell<bool>,
     left: Notify,
 }
 
@@ -67,6 +75,8 @@
 pub struct Client {
     all: Rc<Clients>,
     state: Cell<State>,
+    /// Has brought a request.
+    caller: Cell<bool>,
     /// The client has closed, or the stream broke.
     ended: Cell<bool>,
     told: Notify,
@@ -94,6 +104,7 @@
         let client = Rc::new(Client {
             all: self.clone(),
             state: Cell::new(State::Gone),
+            caller: Cell::new(false),
             ended: Cell::new(false),
             told: Notify::new(),
             cut: Cell::new(false),
@@ -118,7 +129,8 @@
 
     /// Cuts off those whose time is up.
     pub fn expire(&self) {
-        for (queue, time) in [(&self.owed, HEAD), (&self.uploads, STILL), (&self.idle, IDLE)] {
+        let times = [(&self.owed, HEAD), (&self.uploads, STILL), (&self.idle, IDLE), (&self.visits, IDLE)];
+        for (queue, time) in times {
             while Clients::first(queue).is_some_and(|since| since.elapsed() >= time) {
                 Clients::cut_first(queue);
             }
@@ -134,7 +146,11 @@
 
     fn make_room_at(&self, now: Instant) {
         let over = |queue, age| Clients::first(queue).is_some_and(|since| now - since >= age);
-        let order = [(&self.silent, SLOW), (&self.idle, Duration::ZERO), (&self.silent, FRESH)];
+        let idle = (&self.idle, Duration::ZERO);
+        let (before, after) =
+            if self.holding.get() { ((&self.partial, STALLED), idle) } else { (idle, idle) };
+        let order =
+            [(&self.silent, SLOW), (&self.visits, Duration::ZERO), before, (&self.silent, FRESH), after];
         // Danger: one that sends slowly, cut off in a moment in which all that send nothing have just come.
         let partial = self.silent.borrow().is_empty().then_some((&self.partial, FRESH));
         if let Some((queue, _)) = order.into_iter().chain(partial).find(|(queue, age)| over(queue, *age)) {
@@ -142,10 +158,18 @@
         }
     }
 
+    /// From now on clients that lie idle here may find nobody else, and keep their connections as long as any other
+    /// can go. Danger: a crowd that goes on connecting takes them from the clients of a proxy that is leaving.
+    pub fn hold_idle(&self) {
+        self.holding.set(true);
+    }
+
     /// Idle connections end from now on, unless a request has just come on them.
     pub fn retire(&self) {
         self.retiring.set(true);
-        self.idle.borrow().values().for_each(|client| client.wake());
+        [&self.idle, &self.visits]
+            .iter()
+            .for_each(|idle| idle.borrow().values().for_each(|client| client.wake()));
     }
 
     fn place(&self) -> Place {
@@ -170,6 +194,7 @@
     /// The head of its request is there, and its body is to come.
     pub fn uploads(self: &Rc<Self>) {
         self.becomes(State::Uploads(self.all.place()));
+        self.caller.set(true);
     }
 
     /// Its request is whole and in work, or its rest is read at the pace of a backend.
@@ -211,6 +236,7 @@
 
     fn becomes(self: &Rc<Self>, state: State) {
         let all = &self.all;
+        let idle = if self.caller.get() { &all.idle } else { &all.visits };
         match self.state.replace(state) {
             State::Silent(since) => {
                 all.owed.borrow_mut().remove(&since);
@@ -221,7 +247,7 @@
                 all.partial.borrow_mut().remove(&last);
             }
             State::Uploads(place) => _ = all.uploads.borrow_mut().remove(&place),
-            State::Idle(place) => _ = all.idle.borrow_mut().remove(&place),
+            State::Idle(place) => _ = idle.borrow_mut().remove(&place),
             State::InWork => all.in_work.set(all.in_work.get() - 1),
             State::Gone => {}
         }
@@ -235,7 +261,7 @@
                 all.partial.borrow_mut().insert(last, self.clone());
             }
             State::Uploads(place) => _ = all.uploads.borrow_mut().insert(place, self.clone()),
-            State::Idle(place) => _ = all.idle.borrow_mut().insert(place, self.clone()),
+            State::Idle(place) => _ = idle.borrow_mut().insert(place, self.clone()),
             State::InWork => all.in_work.set(all.in_work.get() + 1),
             State::Gone => {}
         }
@@ -322,4 +348,34 @@
         clients.make_room_at(later);
         assert!(slow.cut.get(), "there is nobody else");
     }
+
+    #[test]
+    fn who_has_called_keeps_an_idle_connection_of_a_leaving_proxy_while_any_other_can_go() {
+        let clients: Rc<Clients> = Rc::default();
+        let (visitor, caller, other) = (clients.enter(), clients.enter(), clients.enter());
+        for client in [&caller, &other] {
+            client.uploads();
+            client.in_work();
+        }
+        [&visitor, &caller, &other].into_iter().for_each(Client::idles);
+        let stalled = clients.enter();
+        stalled.came();
+        let silent = clients.enter();
+        let now = Instant::now();
+        let gone = |all: &[&Rc<Client>]| all.iter().map(|c| c.cut.get()).collect::<Vec<_>>();
+        let all = [&visitor, &caller, &other, &stalled, &silent];
+        // Whoever only looked in goes first; then, in service, the idle one whose client can come again.
+        clients.make_room_at(now);
+        assert_eq!(gone(&all), [true, false, false, false, false]);
+        clients.make_room_at(now);
+        assert_eq!(gone(&all), [true, true, false, false, false]);
+        // Not so once the proxy is leaving.
+        clients.hold_idle();
+        let later = now + Duration::from_millis(1100);
+        clients.make_room_at(later);
+        clients.make_room_at(later);
+        assert_eq!(gone(&all), [true, true, false, true, true]);
+        clients.make_room_at(later);
+        assert!(other.cut.get(), "there is nobody else");
+    }
 }
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -104,6 +104,7 @@
     /// No longer says that it is ready; what still comes is answered by then.
     pub fn leave(&self, by: Instant) {
         self.leaving.set(Some(by));
+        self.clients.hold_idle();
     }
 
     /// Whether requests are welcome: there is somebody to send them to, and no end is planned.
