--- a/crates/decisions/src/logic.rs
+++ b/crates/decisions/src/logic.rs
@@ -178,8 +178,6 @@
                 self.cancel_rest(request, Some(attempt), out);
             }
             Event::Outcome(end) => self.attempt_ended(end, out),
-            // Danger: a call that is cut off takes its connection along. Where answers are slow, work is spared.
-            Event::Aborted(r) if self.answers_are_quick() => _ = (self.open.remove(&r), self.held.remove(&r)),
             Event::Aborted(request) => self.forget(request, out),
             Event::Checked { endpoint, outcome, .. } => self.checked(endpoint, outcome, out),
             Event::Timer(Timer::Check(id)) => self.check_due(id.0 as usize, out),
@@ -373,8 +371,8 @@
     /// Whether an endpoint answers what is out in time. Danger: where too much waits it turns and stays slow.
     fn has_room(&mut self, slot: usize, part: f64, mean: f64, request: &Open) -> bool {
         let aim = self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(0) as f64;
-        let group = if self.settings.tier == 0 { self.settings.group_size.max(2) } else { 2 };
-        let copies = f64::from(group) / 2.0;
+        let copies =
+            f64::from(if self.settings.tier == 0 { self.settings.group_size.max(2) } else { 2 }) / 2.0;
         let e = &mut self.endpoints[slot];
         let (seen, prior) = (e.rate.add(self.now, RATE_SPAN, 0.0), PRIOR * (1.0 - 1.0 / copies));
         let rate = (seen + prior) / (mean + prior).max(f64::MIN_POSITIVE) * mean / RATE_SPAN;
@@ -550,7 +548,8 @@
     /// Nothing more can be done: a refusal where it is true that trying again is harmless, else a failure.
     fn finish(&mut self, id: RequestId, come_back: Nanos, out: &mut Vec<Action>) {
         let come_back = come_back.min(self.settings.limits.max_retry_after);
-        let Some(harmless) = self.open.get(&id).map(|r| self.permit(r).shed) else { return };
+        let Some(request) = self.open.get(&id) else { return };
+        let harmless = self.permit(request).shed;
         out.push(if harmless { Action::Shed { request: id, come_back } } else { Action::Fail(id) });
         self.forget(id, out);
     }
@@ -581,9 +580,10 @@
         self.retry_budget = (self.retry_budget + RETRY_SHARE).min(RETRY_SAVINGS);
         let over_share = r.tenant.is_some_and(|t| self.over_share(t.0 as usize));
         let shed = if self.settings.tier == 0 { self.overloaded(class, over_share) } else { None };
-        match shed {
-            Some(wait) => self.finish(r.id, wait, out),
-            None => self.place(r.id, out),
+        if let Some(wait) = shed {
+            self.finish(r.id, wait, out);
+        } else {
+            self.place(r.id, out);
         }
     }
 
