--- a/crates/proxy/tests/bodies.rs
+++ b/crates/proxy/tests/bodies.rs
@@ -1,14 +1,13 @@
 //! Long bodies: byte for byte in any pieces, more at once than memory holds, and cut where they are cut.
 
+mod process;
 mod scenario;
-use scenario::{NEVER, SETTINGS, config_file, free_port, olivecart};
+use process::{Process, Site, backend, head};
+use scenario::{NEVER, free_port};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
-use std::sync::mpsc::{Receiver, channel};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::mpsc::channel;
 use std::thread::spawn;
-use std::time::Instant;
 
 const MB: usize = 1 << 20;
 /// The least that may be configured; two fifths of it are for long bodies.
@@ -20,17 +19,6 @@
     (from..from + length).map(byte).collect()
 }
 
-/// Head (with its blank line) and all headers in lower case.
-fn head(reader: &mut impl BufRead) -> Option<String> {
-    let mut head = String::new();
-    while !head.ends_with("\r\n\r\n") {
-        if reader.read_line(&mut head).ok()? == 0 {
-            return None;
-        }
-    }
-    Some(head)
-}
-
 fn header(head: &str, name: &str) -> Option<String> {
     let line = head.lines().find(|line| line.to_lowercase().starts_with(&format!("{name}:")))?;
     Some(line.split_once(':')?.1.trim().to_owned())
@@ -68,28 +56,6 @@
     }
 }
 
-/// A backend that does with each connection's calls what it is told, one thread each; probes are answered.
-fn backend(answer: impl Fn(&mut BufReader<TcpStream>, &str) + Send + Sync + 'static) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let (addr, answer) = (listener.local_addr().expect("bound"), Arc::new(answer));
-    spawn(move || {
-        for stream in listener.incoming().map_while(Result::ok) {
-            let answer = answer.clone();
-            spawn(move || {
-                let mut reader = BufReader::new(stream);
-                while let Some(head) = head(&mut reader) {
-                    if head.starts_with("GET /health") {
-                        let _ = reader.get_mut().write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
-                    } else {
-                        answer(&mut reader, &head);
-                    }
-                }
-            });
-        }
-    });
-    addr
-}
-
 fn connect(listen: SocketAddr) -> BufReader<TcpStream> {
     let stream = TcpStream::connect(listen).expect("let in");
     stream.set_read_timeout(Some(NEVER)).expect("set");
@@ -97,61 +63,34 @@
 }
 
 struct Proxy {
-    program: Child,
-    listen: SocketAddr,
-    log: Receiver<String>,
+    site: Site,
+    process: Process,
 }
 
 impl Proxy {
     fn start(backends: &[SocketAddr]) -> Proxy {
-        let (listen, discovery) = (free_port(), free_port());
-        let server = |(n, addr): (usize, &SocketAddr)| {
-            format!(r#"{{"id":"{n}","addr":"{addr}","state":"ready","zone":"z","cell":1}}"#)
-        };
-        let servers: Vec<String> = backends.iter().enumerate().map(server).collect();
-        let config = config_file(&format!(
-            r#"{{"listen":"{listen}","discovery":"{discovery}","limits":{{"sockets":256,"memory_mb":{MEMORY_MB}}},
-            "known":{{"version":1,"full":true,"servers":[{}]}},"settings":{SETTINGS}}}"#,
-            servers.join(",")
-        ));
-        let mut program = olivecart("serve", &config).stderr(Stdio::piped()).spawn().expect("it starts");
-        let (lines, log) = channel();
-        let said = BufReader::new(program.stderr.take().expect("piped"));
-        spawn(move || said.lines().map_while(Result::ok).for_each(|line| _ = lines.send(line)));
-        let proxy = Proxy { program, listen, log };
-        proxy.logged("listening");
-        proxy
+        let ids: Vec<String> = (0..backends.len()).map(|n| n.to_string()).collect();
+        let backends: Vec<_> = ids.iter().map(String::as_str).zip(backends.iter().copied()).collect();
+        let site = Site::new(MEMORY_MB, &backends);
+        let process = site.start();
+        process.is_ready();
+        Proxy { site, process }
     }
 
-    fn logged(&self, text: &str) -> String {
-        let end = Instant::now() + NEVER;
-        let next = || self.log.recv_timeout(end.saturating_duration_since(Instant::now()));
-        loop {
-            let line = next().unwrap_or_else(|_| panic!("never logged: {text}"));
-            if line.contains(text) {
-                return line;
-            }
-        }
+    fn listen(&self) -> SocketAddr {
+        self.site.listen
     }
 
     /// Ends it as planned; the most that long bodies ever held.
     fn peak(mut self) -> usize {
-        let id = self.program.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill runs").success());
-        let line = self.logged("long_bodies_peak");
-        assert!(self.program.wait().expect("it ends").success());
+        self.process.signal("-TERM");
+        let line = self.process.logs("long_bodies_peak");
+        self.process.ends();
         let peak = line.split("long_bodies_peak: ").nth(1).expect("told");
         peak.split(',').next().expect("told").trim().parse().expect("a number")
     }
 }
 
-impl Drop for Proxy {
-    fn drop(&mut self) {
-        let _ = self.program.kill(); // ended already, where its peak was asked for
-        let _ = self.program.wait();
-    }
-}
-
 fn request(method: &str, number: usize, more: &str) -> String {
     format!(
         "{method} /{number} HTTP/1.1\r\nHost: h\r\nX-Request-Id: r{number}\r\nX-Class: view\r\n{more}\r\n"
@@ -208,18 +147,18 @@
 #[test]
 fn thirty_two_megabytes_pass_both_ways_byte_for_byte_and_many_at_once_stay_under_the_budget() {
     let proxy = Proxy::start(&[backend(mirror(MB, false)), backend(mirror(3 * MB + 1, true))]);
-    let listen = proxy.listen;
+    let listen = proxy.listen();
     // All together 256 MB each way, where the proxy may have 32.
     let clients = (0..8).map(|number| {
         spawn(move || exchange(listen, number, 32 * MB, 32 * MB, MB - number, number % 2 == 1))
     });
     let clients: Vec<_> = clients.collect();
     // Beside them, one that reads nothing of its answer, and ordinary clients.
-    let mut stuck = connect(proxy.listen);
+    let mut stuck = connect(proxy.listen());
     let idle = request("GET", 99, &format!("X-Size: {}\r\n", 32 * MB));
     stuck.get_mut().write_all(idle.as_bytes()).expect("read");
     for number in 100..150 {
-        exchange(proxy.listen, number, 10, 10, 3, false);
+        exchange(proxy.listen(), number, 10, 10, 3, false);
     }
     clients.into_iter().for_each(|client| client.join().expect("every byte as it was sent"));
     drop(stuck);
@@ -233,8 +172,8 @@
     for (number, (size, piece)) in
         [(70_000, 1), (65_536, 65_536), (65_537, 7), (300_000, 1000), (1, 1)].into_iter().enumerate()
     {
-        exchange(proxy.listen, number, size, size, piece, false);
-        exchange(proxy.listen, 10 + number, size, size, piece.max(10), true);
+        exchange(proxy.listen(), number, size, size, piece, false);
+        exchange(proxy.listen(), 10 + number, size, size, piece.max(10), true);
     }
 }
 
@@ -258,7 +197,7 @@
     };
     let proxy = Proxy::start(&[backend(cuts)]);
     for case in ["length", "chunk", "close"] {
-        let mut link = connect(proxy.listen);
+        let mut link = connect(proxy.listen());
         let text = request("GET", 0, &format!("X-Case: {case}\r\n"));
         link.get_mut().write_all(text.as_bytes()).expect("read");
         let head = head(&mut link).expect("an answer that has begun");
@@ -285,11 +224,11 @@
     // Nobody is there: it never ran, and nothing of a long body was asked for yet.
     let proxy = Proxy::start(&[refuses, good]);
     for number in 0..6 {
-        exchange(proxy.listen, number, 2 * MB, 10, MB, false);
+        exchange(proxy.listen(), number, 2 * MB, 10, MB, false);
     }
     // It was let go: refused at once, since without its last byte it never ran, and not sent to anybody else.
     let proxy = Proxy::start(&[closes]);
-    let mut link = connect(proxy.listen);
+    let mut link = connect(proxy.listen());
     let text = request("POST", 7, &format!("Content-Length: {}\r\n", 32 * MB));
     let mut writer = link.get_ref().try_clone().expect("cloned");
     let sender = spawn(move || {
@@ -318,7 +257,7 @@
             }
         }
     })]);
-    let mut link = connect(proxy.listen);
+    let mut link = connect(proxy.listen());
     let text = request("POST", 1, "Content-Length: 70000\r\nExpect: 100-continue\r\n");
     link.get_mut().write_all(text.as_bytes()).expect("read");
     assert!(head(&mut link).expect("go on").starts_with("HTTP/1.1 100"));
