Hold idle callers also beside a burst of silent connections, and only where nobody takes over

And Gate::leave() held them also where another process had taken over, whose clients lose nothing by moving. Fault: clients.rs make_room_at(), listen.rs leave(). Change: what is held goes only where nobody is connected that has sent nothing, as slow senders already did; drain() holds them. Names: the estimate of RFC 6298 is `LatencyEstimate`, and connections that asked only for health are `unused`. Test on sockets, tests/leaving.rs: 200 silent connections at a proxy that was told to end, beside one who calls. A play in which the machine pauses for 0.3 s says nothing and is repeated.

--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -48,8 +48,8 @@
     uploads: Queue,
     /// Those that have brought a request...
     idle: Queue,
-    /// ...and those that have only asked whether all is well.
-    visits: Queue,
+    /// ...and those that have only asked for health.
+    unused: Queue,
     next: Cell<u64>,
     open: Cell<usize>,
     in_work: Cell<usize>,
@@ -76,7 +76,7 @@
     all: Rc<Clients>,
     state: Cell<State>,
     /// Has brought a request.
-    caller: Cell<bool>,
+    used: Cell<bool>,
     /// The client has closed, or the stream broke.
     ended: Cell<bool>,
     told: Notify,
@@ -104,7 +104,7 @@
         let client = Rc::new(Client {
             all: self.clone(),
             state: Cell::new(State::Gone),
-            caller: Cell::new(false),
+            used: Cell::new(false),
             ended: Cell::new(false),
             told: Notify::new(),
             cut: Cell::new(false),
@@ -129,7 +129,7 @@
 
     /// Cuts off those whose time is up.
     pub fn expire(&self) {
-        let times = [(&self.owed, HEAD), (&self.uploads, STILL), (&self.idle, IDLE), (&self.visits, IDLE)];
+        let times = [(&self.owed, HEAD), (&self.uploads, STILL), (&self.idle, IDLE), (&self.unused, IDLE)];
         for (queue, time) in times {
             while Clients::first(queue).is_some_and(|since| since.elapsed() >= time) {
                 Clients::cut_first(queue);
@@ -147,13 +147,14 @@
     fn make_room_at(&self, now: Instant) {
         let over = |queue, age| Clients::first(queue).is_some_and(|since| now - since >= age);
         let idle = (&self.idle, Duration::ZERO);
-        let (before, after) =
-            if self.holding.get() { ((&self.partial, STALLED), idle) } else { (idle, idle) };
-        let order =
-            [(&self.silent, SLOW), (&self.visits, Duration::ZERO), before, (&self.silent, FRESH), after];
-        // Danger: one that sends slowly, cut off in a moment in which all that send nothing have just come.
-        let partial = self.silent.borrow().is_empty().then_some((&self.partial, FRESH));
-        if let Some((queue, _)) = order.into_iter().chain(partial).find(|(queue, age)| over(queue, *age)) {
+        let third = if self.holding.get() { (&self.partial, STALLED) } else { idle };
+        let order = [(&self.silent, SLOW), (&self.unused, Duration::ZERO), third, (&self.silent, FRESH)];
+        // Danger: one that sends slowly, or that is held, cut off in a moment in which all that send nothing have
+        // just come.
+        let last = self.silent.borrow().is_empty().then_some([idle, (&self.partial, FRESH)]);
+        if let Some((queue, _)) =
+            order.into_iter().chain(last.into_iter().flatten()).find(|(queue, age)| over(queue, *age))
+        {
             Clients::cut_first(queue);
         }
     }
@@ -167,7 +168,7 @@
     /// Idle connections end from now on, unless a request has just come on them.
     pub fn retire(&self) {
         self.retiring.set(true);
-        [&self.idle, &self.visits]
+        [&self.idle, &self.unused]
             .iter()
             .for_each(|idle| idle.borrow().values().for_each(|client| client.wake()));
     }
@@ -194,7 +195,7 @@
     /// The head of its request is there, and its body is to come.
     pub fn uploads(self: &Rc<Self>) {
         self.becomes(State::Uploads(self.all.place()));
-        self.caller.set(true);
+        self.used.set(true);
     }
 
     /// Its request is whole and in work, or its rest is read at the pace of a backend.
@@ -236,7 +237,7 @@
 
     fn becomes(self: &Rc<Self>, state: State) {
         let all = &self.all;
-        let idle = if self.caller.get() { &all.idle } else { &all.visits };
+        let idle = if self.used.get() { &all.idle } else { &all.unused };
         match self.state.replace(state) {
             State::Silent(since) => {
                 all.owed.borrow_mut().remove(&since);
@@ -369,8 +370,10 @@
         assert_eq!(gone(&all), [true, false, false, false, false]);
         clients.make_room_at(now);
         assert_eq!(gone(&all), [true, true, false, false, false]);
-        // Not so once the proxy is leaving.
+        // Not so once the proxy is leaving, nor while those that send nothing have just come.
         clients.hold_idle();
+        clients.make_room_at(now);
+        assert_eq!(gone(&all), [true, true, false, false, false]);
         let later = now + Duration::from_millis(1100);
         clients.make_room_at(later);
         clients.make_room_at(later);
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -4,12 +4,12 @@
 use crate::call::{AnswerBody, Call, Verdict};
 use crate::clients::{Client, Clients, Reader};
 use crate::config::Sockets;
+use crate::latency::LatencyEstimate;
 use crate::platform::client;
 use crate::stages::admit::{self, NotAdmitted};
 use crate::stages::choose::Routes;
 use crate::stages::{intake, relay};
 use crate::stats::{Ended, Stats, Taken};
-use crate::usual::Usual;
 use crate::wire::Wire;
 use actix_http::{ConnectionType, Extensions, HttpService, KeepAlive, Request, Response};
 use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
@@ -45,8 +45,8 @@
     clients: Rc<Clients>,
     /// When the last request was put to a cluster.
     last_taken: Cell<Instant>,
-    /// What requests took from then to their answer.
-    usual: Cell<Usual>,
+    /// Of requests that were served, from then on.
+    latency: Cell<LatencyEstimate>,
     /// Once an end is planned: by when all must be answered.
     leaving: Cell<Option<Instant>>,
     closing: watch::Sender<bool>,
@@ -68,7 +68,7 @@
         budget: Rc<Budget>,
         stats: Option<Arc<Stats>>,
     ) -> Gate {
-        let (clients, last_taken, usual) = (Rc::default(), Cell::new(Instant::now()), Cell::default());
+        let (clients, last_taken, latency) = (Rc::default(), Cell::new(Instant::now()), Cell::default());
         let (closing, accepting, leaving) =
             (watch::channel(false).0, watch::channel(true).0, Cell::new(None));
         let sockets = Cell::new(sockets);
@@ -79,7 +79,7 @@
             sockets,
             clients,
             last_taken,
-            usual,
+            latency,
             leaving,
             closing,
             accepting,
@@ -109,6 +109,10 @@
     /// No longer says that it is ready; what still comes is answered by then.
     pub fn leave(&self, by: Instant) {
         self.leaving.set(Some(by));
+    }
+
+    /// Clients that lie idle here may find nobody else from now on: see [`Clients::hold_idle`].
+    pub fn hold_idle(&self) {
         self.clients.hold_idle();
     }
 
@@ -139,8 +143,8 @@
     }
 
     /// What nearly all answers take at most, if there were any.
-    pub fn usual(&self) -> Option<Duration> {
-        self.usual.get().most()
+    pub fn latency(&self) -> Option<Duration> {
+        self.latency.get().upper_bound()
     }
 
     /// Connections that are open.
@@ -332,9 +336,9 @@
     gate.last_taken.set(taken);
     let verdict = relay::relay(&mut held, client.gone()).await;
     if let Some(Verdict::Served(_)) = &verdict {
-        let mut usual = gate.usual.get();
-        usual.took(taken.elapsed());
-        gate.usual.set(usual);
+        let mut latency = gate.latency.get();
+        latency.observe(taken.elapsed());
+        gate.latency.set(latency);
     }
     // Nobody reads the answer to a client that has gone.
     let answer = client::answer(verdict.unwrap_or(Verdict::Failed));
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -20,6 +20,7 @@
 mod driver;
 mod handover;
 mod invariant;
+mod latency;
 mod listen;
 mod membership;
 mod operators;
@@ -33,7 +34,6 @@
 mod tools;
 mod trace;
 mod upgrade;
-mod usual;
 mod wire;
 
 use std::process::ExitCode;
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -67,10 +67,13 @@
 pub async fn drain(gates: &[Rc<Gate>], log: &Logger) {
     let began = Instant::now();
     info!(log, "leaving"; "connections" => connections(gates));
-    gates.iter().for_each(|gate| gate.leave(began + ALL_ANSWERED));
-    let usual = || gates.iter().filter_map(|gate| gate.usual()).max();
+    for gate in gates {
+        gate.leave(began + ALL_ANSWERED);
+        gate.hold_idle();
+    }
+    let latency = || gates.iter().filter_map(|gate| gate.latency()).max();
     let quiet = || gates.iter().map(|gate| gate.last_taken().elapsed()).min().unwrap_or(QUIET);
-    while takes_more(began.elapsed(), quiet(), usual()) {
+    while takes_more(began.elapsed(), quiet(), latency()) {
         sleep(STEP).await;
     }
     // The listener stays open: a late connection is answered and closed rather than reset.
@@ -79,10 +82,10 @@
 }
 
 /// Whether requests are taken so long after the signal, when none has come for `quiet` and nearly all answers take
-/// `usual` at most. Danger: ended while others of the group are away, clients find nobody; ended too late, what came
+/// `latency` at most. Danger: ended while others of the group are away, clients find nobody; ended too late, what came
 /// last is cut off.
-fn takes_more(after: Duration, quiet: Duration, usual: Option<Duration>) -> bool {
-    let least = usual.unwrap_or(ALL_ANSWERED - STILL_COMING).max(LEAST_LEFT);
+fn takes_more(after: Duration, quiet: Duration, latency: Option<Duration>) -> bool {
+    let least = latency.unwrap_or(ALL_ANSWERED - STILL_COMING).max(LEAST_LEFT);
     after < STILL_COMING || quiet < QUIET && after < ALL_ANSWERED.saturating_sub(least)
 }
 
@@ -112,7 +115,7 @@
     #[test]
     fn requests_are_taken_while_they_come_and_can_be_answered() {
         let ms = Duration::from_millis;
-        for (after, quiet, usual, takes) in [
+        for (after, quiet, latency, takes) in [
             (1499, 9000, Some(5000), true), // always so long
             (1500, 0, Some(5000), false),
             (2399, 499, Some(1000), true),
@@ -122,8 +125,8 @@
             (2900, 0, Some(1), false), // something has to be left
             (1600, 0, None, false),    // nothing is known
         ] {
-            let usual = usual.map(ms);
-            assert_eq!(takes_more(ms(after), ms(quiet), usual), takes, "{after} {quiet} {usual:?}");
+            let latency = latency.map(ms);
+            assert_eq!(takes_more(ms(after), ms(quiet), latency), takes, "{after} {quiet} {latency:?}");
         }
     }
 }
--- /dev/null
+++ b/crates/proxy/tests/leaving.rs
@@ -0,0 +1,43 @@
+//! A planned end while a crowd connects: clients that have called are served for as long as they come.
+
+mod process;
+mod scenario;
+use process::{Site, call, counting};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+/// Less than the pause after which a proxy takes it that nobody comes. What a slower machine shows says nothing.
+const PAUSE: Duration = Duration::from_millis(300);
+/// Longer than it serves on where nobody comes.
+const LONGER: Duration = Duration::from_millis(2200);
+
+/// How long a proxy that was told to end serves one who calls again and again, beside more than it has descriptors for
+/// that say nothing; and the longest pause between two calls.
+fn serves_for() -> (Duration, Duration) {
+    let (backend, _) = counting();
+    let site = Site::new(32, &[("a", backend)]);
+    let mut proxy = site.start();
+    proxy.is_ready();
+    let mut caller = TcpStream::connect(site.listen).expect("let in");
+    assert!(call(&mut caller, "before").expect("an answer").starts_with("HTTP/1.1 200"));
+    proxy.signal("-TERM");
+    proxy.logs("leaving");
+    let began = Instant::now();
+    let crowd: Vec<_> = (0..200).map(|_| TcpStream::connect(site.listen).expect("queued")).collect();
+    let (mut last, mut longest) = (began, Duration::ZERO);
+    while let Some(head) = call(&mut caller, &format!("{:?}", last)) {
+        assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+        longest = longest.max(last.elapsed());
+        last = Instant::now();
+    }
+    drop(crowd);
+    proxy.ends();
+    (last - began, longest)
+}
+
+#[test]
+fn who_calls_on_a_kept_connection_is_served_beside_a_crowd_until_no_answer_would_be_in_time() {
+    let mut plays = std::iter::repeat_with(serves_for).take(10);
+    let (served, _) = plays.find(|(_, pause)| *pause < PAUSE).expect("one play without a long pause");
+    assert!(served > LONGER, "for {served:?}");
+}
