Test what an upgrade hands over for cold endpoints, as the test's name says

Found on reading the change again: the_next_instance_sends_a_cold_endpoint_what_the_one_before_would_have_... asserted only who is avoided; without the rate of calls (sent_work), for which the state is handed over at all, it passed. A first form, with the cold endpoint known to both, passed without sent_work (its own budget is handed over too) and was dropped.

--- a/crates/decisions/src/knowledge.rs
+++ b/crates/decisions/src/knowledge.rs
@@ -111,7 +111,7 @@
 
     const S: Nanos = 1_000_000_000;
 
-    /// Takes one request for each second, answered at once, and says how many of them went to an endpoint.
+    /// Takes twenty requests a second, each answered at once, and says how many of them went to an endpoint.
     fn serve(balancer: &mut Balancer, from: u64, seconds: u64, endpoint: EndpointId) -> usize {
         let mut there = 0;
         for n in 0..seconds * 20 {
@@ -132,30 +132,32 @@
     }
 
     #[test]
-    fn the_next_instance_sends_a_cold_endpoint_what_the_one_before_would_have_and_avoids_who_is_avoided() {
+    fn the_next_instance_avoids_who_is_down_and_sends_a_cold_endpoint_what_the_rate_of_calls_allows() {
         let settings = Settings { classes: vec![Class::default()], ..Settings::default() };
-        let entry = |n, name: &str, started| Entry { started, ..Entry::ready(EndpointId(n), name) };
-        // The favourite is down; of the two others one is cold.
-        let list = |balancer: &mut Balancer, now| {
-            let list = vec![entry(0, "down", None), entry(1, "cold", Some(995 * S)), entry(2, "warm", None)];
+        let start = |now| {
+            let entry = |n, name: &str, started| Entry { started, ..Entry::ready(EndpointId(n), name) };
+            // In a release: the cold one is another process for the next instance.
+            let list = vec![entry(0, "warm", None), entry(1, "cold", Some(now - S))];
+            let mut balancer = Balancer::new(settings.clone(), 1, now);
             balancer.handle(now, Event::List(ListChange::Full(list)), &mut Vec::new());
-        };
-        let mut old = Balancer::new(settings.clone(), 1, 1000 * S);
-        list(&mut old, 1000 * S);
-        serve(&mut old, 0, 10, EndpointId(1));
-        let (endpoint, outcome) = (EndpointId(0), Outcome::ConnectFailed);
-        old.handle(1010 * S, Event::Checked { endpoint, outcome, took: 1, load: None }, &mut Vec::new());
-        let start = || {
-            let mut balancer = Balancer::new(settings.clone(), 2, 1010 * S);
-            list(&mut balancer, 1010 * S);
             balancer
         };
-        let (mut taught, mut fresh) = (start(), start());
+        let goes_down = |balancer: &mut Balancer| {
+            let (endpoint, outcome) = (EndpointId(0), Outcome::ConnectFailed);
+            let checked = Event::Checked { endpoint, outcome, took: 1, load: None };
+            balancer.handle(1010 * S, checked, &mut Vec::new());
+        };
+        let mut old = start(1000 * S);
+        serve(&mut old, 0, 10, EndpointId(1));
+        goes_down(&mut old);
+        let (mut taught, mut fresh) = (start(1010 * S), start(1010 * S));
         taught.take_over(&old.knowledge());
         assert_eq!(taught.standing(EndpointId(0)), Standing::Down);
         assert_eq!(taught.knowledge().norms, old.knowledge().norms);
-        assert_eq!(serve(&mut taught, 10, 1, EndpointId(0)), 0);
-        assert_ne!(serve(&mut fresh, 10, 1, EndpointId(0)), 0, "what this is for");
+        goes_down(&mut fresh);
+        let cold = EndpointId(1);
+        let [taught, fresh] = [&mut taught, &mut fresh].map(|balancer| serve(balancer, 10, 3, cold));
+        assert!(taught > 20 && fresh < 5, "{taught} of 60, and {fresh} where nothing was handed over");
     }
 
     #[test]
