Bound the whole wait for an earlier process, not each read of it

Change: 2 s for all that it says (handover/mod.rs ask()). Test: whatever_lies_in_the_directory_a_process_starts has one that drips (and takes 4 s, two of them for the mute one as before); with a time for each read it fails after 62 s, never ready. A call to a console that is bound and not answered ends in the tests now; without that the broken form hung instead of failing.

--- a/crates/proxy/src/handover/mod.rs
+++ b/crates/proxy/src/handover/mod.rs
@@ -23,7 +23,7 @@
 use std::os::unix::net::UnixStream as Blocking;
 use std::path::{Path, PathBuf};
 use std::rc::{Rc, Weak};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader, Interest};
 use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{UnixListener, UnixStream};
@@ -31,7 +31,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-/// Longest wait for each thing that an earlier process has to say; it has its listener and its loop, or nothing.
+/// Longest wait for all that an earlier process has to say; it has its listener and its loop, or nothing.
 const SAYS: Duration = Duration::from_secs(2);
 /// Lines that wait to be written to a process. One that reads none of so many is given up.
 const WAITING: usize = 1024;
@@ -94,14 +94,19 @@
     let broken = |e| NotHandedOver::Io(path.to_owned(), e);
     let foreign = |what: String| NotHandedOver::Foreign(path.to_owned(), what);
     let mut link = Blocking::connect(path).map_err(broken)?;
-    link.set_read_timeout(Some(SAYS)).map_err(broken)?;
     link.set_write_timeout(Some(SAYS)).map_err(broken)?;
     link.write_all(&Message::Hello { protocol: PROTOCOL }.line()).map_err(broken)?;
-    let (mut came, mut listener) = (Vec::new(), None);
+    let (mut came, mut listener, until) = (Vec::new(), None, Instant::now() + SAYS);
     let end = loop {
         if let Some(end) = came.iter().position(|b| *b == b'\n') {
             break end;
         }
+        // Danger: one that says a byte at a time holds up the start for good; a new process has 6 s in all.
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(broken(io::ErrorKind::TimedOut.into()));
+        }
+        link.set_read_timeout(Some(left)).map_err(broken)?;
         let (bytes, passed) = receive(&link).map_err(broken)?;
         if bytes.is_empty() || came.len() > LONGEST {
             return Err(foreign(format!("{} bytes and an end", came.len())));
--- a/crates/proxy/tests/process/mod.rs
+++ b/crates/proxy/tests/process/mod.rs
@@ -138,6 +138,7 @@
 impl Process {
     pub fn operator(&self, method: &str, path: &str, body: &str) -> String {
         let Ok(mut stream) = TcpStream::connect(self.console) else { return String::new() };
+        let _ = stream.set_read_timeout(Some(NEVER)); // bound, and not answered if its start hangs
         let length = body.len();
         let _ = write!(stream, "{method} {path} HTTP/1.1\r\nContent-Length: {length}\r\n\r\n{body}");
         let mut answer = String::new();
--- a/crates/proxy/tests/upgrade.rs
+++ b/crates/proxy/tests/upgrade.rs
@@ -5,10 +5,12 @@
 use process::{Process, Site, call, counting};
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
+use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::thread::{JoinHandle, spawn};
+use std::time::Duration;
 
 /// Clients that call until told to stop, on kept connections and on new ones, each request once.
 fn crowd(listen: SocketAddr, stop: &Arc<AtomicBool>) -> Vec<JoinHandle<usize>> {
@@ -113,23 +115,28 @@
 #[test]
 fn whatever_lies_in_the_directory_a_process_starts() {
     let (a, _) = counting();
-    let stale = |path: &Path| drop(std::os::unix::net::UnixListener::bind(path).expect("bound"));
+    let stale = |path: &Path| drop(UnixListener::bind(path).expect("bound"));
     let foreign = |path: &Path| std::fs::write(path, "{\"state\":").expect("written");
     let directory = |path: &Path| std::fs::create_dir(path).expect("made");
-    // Somebody who answers, but in no words of ours, and gives no socket.
+    let somebody = |path: &Path, does: fn(UnixStream)| {
+        let listener = UnixListener::bind(path).expect("bound");
+        spawn(move || listener.incoming().map_while(Result::ok).for_each(does));
+    };
     let other_build = |path: &Path| {
-        let listener = std::os::unix::net::UnixListener::bind(path).expect("bound");
-        spawn(move || {
-            for mut stream in listener.incoming().map_while(Result::ok) {
-                let _ = stream.write_all(b"{\"state\":{\"protocol\":99,\"out\":[],\"back\":{}}}\n");
-            }
+        // In no words of ours, and no socket comes along.
+        somebody(path, |mut stream| {
+            _ = stream.write_all(b"{\"state\":{\"protocol\":99,\"out\":[],\"back\":{}}}\n")
         });
     };
-    let mute = |path: &Path| {
-        let listener = std::os::unix::net::UnixListener::bind(path).expect("bound");
-        spawn(move || listener.incoming().map_while(Result::ok).collect::<Vec<_>>());
+    let mute = |path: &Path| somebody(path, std::mem::forget);
+    let drips = |path: &Path| {
+        somebody(path, |mut stream| {
+            while stream.write_all(b" ").is_ok() {
+                std::thread::sleep(Duration::from_millis(500))
+            }
+        })
     };
-    let cases: [&dyn Fn(&Path); 5] = [&stale, &foreign, &directory, &other_build, &mute];
+    let cases: [&dyn Fn(&Path); 6] = [&stale, &foreign, &directory, &other_build, &mute, &drips];
     for (n, lay) in cases.iter().enumerate() {
         let site = Site::new(32, &[("a", a)]);
         lay(&site.socket());
