Have one child process with its log in the tests, and the fleet's backends and clients in the new ones

Found on reading the change again: what the project already had was written again. The tests had the program as a child with a reader of its log five times (scenario, fleet, sidecar, bodies, upgrades), and upgrades had backends that count, clients and heads beside fleet's Backend and Client. New: the death of the process before is played too (SIGKILL, twice in a row, the next one takes over each time), which the issue lists and only the state machine showed.

--- a/crates/proxy/benches/figures.rs
+++ b/crates/proxy/benches/figures.rs
@@ -54,10 +54,11 @@
 
 /// CPU time so far, resident and most resident memory in KiB, and open descriptors, of the proxy.
 fn usage(proxy: &Proxy) -> (Duration, u64, u64, usize) {
-    let read = |name: &str| fs::read_to_string(format!("/proc/{}/{name}", proxy.id())).unwrap_or_default();
+    let read =
+        |name: &str| fs::read_to_string(format!("/proc/{}/{name}", proxy.program.id())).unwrap_or_default();
     let stat = read("schedstat"); // nanoseconds of the main thread; the others' are summed below
     let mut cpu = stat.split(' ').next().and_then(|ns| ns.parse().ok()).unwrap_or(0);
-    if let Ok(tasks) = fs::read_dir(format!("/proc/{}/task", proxy.id())) {
+    if let Ok(tasks) = fs::read_dir(format!("/proc/{}/task", proxy.program.id())) {
         let of = |task: fs::DirEntry| fs::read_to_string(task.path().join("schedstat")).unwrap_or_default();
         cpu = tasks.flatten().map(of).filter_map(|s| s.split(' ').next()?.parse::<u64>().ok()).sum();
     }
@@ -66,7 +67,7 @@
         let line = status.lines().find(|line| line.starts_with(name))?;
         line.split_whitespace().nth(1)?.parse().ok()
     };
-    let descriptors = fs::read_dir(format!("/proc/{}/fd", proxy.id())).map_or(0, |fds| fds.count());
+    let descriptors = fs::read_dir(format!("/proc/{}/fd", proxy.program.id())).map_or(0, |fds| fds.count());
     (Duration::from_nanos(cpu), line("VmRSS").unwrap_or(0), line("VmHWM").unwrap_or(0), descriptors)
 }
 
@@ -102,7 +103,7 @@
         let backends: Vec<Backend> = (0..REAL).map(|at| Backend::new(&at.to_string())).collect();
         let proxy = Proxy::start(Some(OPERATORS), &without_probes());
         proxy.list(&file(&backends, &[], count, 1, None));
-        proxy.line("cluster changed");
+        proxy.program.line("cluster changed");
         let load = Load::start(proxy.listen, 4);
         backends[0].wait_past(0);
         let mut late = Vec::new();
@@ -144,7 +145,7 @@
         let source = format!("xds = \"{}\"\nnode = \"n1\"", plane.address());
         let operators = OPERATORS.replace("file = \"fleet.toml\"", &source);
         let proxy = Proxy::start(Some(&operators), &without_probes());
-        proxy.line("cluster changed");
+        proxy.program.line("cluster changed");
         let load = Load::start(proxy.listen, 4);
         backends[0].wait_past(0);
         let mut late = Vec::new();
@@ -168,7 +169,7 @@
         let proxy = Proxy::start(Some(OPERATORS), &without_probes());
         let idle = usage(&proxy);
         proxy.list(&file(&backends, &[], count, 1, None));
-        proxy.line("cluster changed");
+        proxy.program.line("cluster changed");
         let first = usage(&proxy);
         println!(
             "{count} endpoints: first list: CPU {:.1?}, {} -> {} KiB, most {} KiB",
@@ -206,9 +207,9 @@
                 );
             }
         }
-        proxy.log.try_iter().for_each(drop);
-        let _ = Command::new("kill").args(["-USR1", &proxy.id().to_string()]).status();
-        println!("  {}", proxy.line("longest_part_us"));
+        proxy.program.lines();
+        let _ = Command::new("kill").args(["-USR1", &proxy.program.id().to_string()]).status();
+        println!("  {}", proxy.program.line("longest_part_us"));
     }
 }
 
@@ -218,7 +219,7 @@
         let proxy = Proxy::start(operators, SETTINGS);
         proxy.list(&file(&backends, &[], REAL, 1, None));
         if operators.is_some() {
-            proxy.line("cluster changed");
+            proxy.program.line("cluster changed");
         }
         std::thread::sleep(Duration::from_secs(1));
         let (cpu, now, most, descriptors) = usage(&proxy);
--- a/crates/proxy/tests/bodies.rs
+++ b/crates/proxy/tests/bodies.rs
@@ -1,11 +1,12 @@
 //! Long bodies: byte for byte in any pieces, more at once than memory holds, and cut where they are cut.
 
-mod process;
 mod scenario;
-use process::{Process, Site, backend, head};
+mod site;
 use scenario::{NEVER, free_port};
+use site::{Process, Site};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
 use std::sync::mpsc::channel;
 use std::thread::spawn;
 
@@ -19,6 +20,39 @@
     (from..from + length).map(byte).collect()
 }
 
+/// Head, with its blank line.
+fn head(reader: &mut impl BufRead) -> Option<String> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if reader.read_line(&mut head).ok()? == 0 {
+            return None;
+        }
+    }
+    Some(head)
+}
+
+/// A backend that does with each connection's calls what it is told, one thread each; probes are answered.
+fn backend(answer: impl Fn(&mut BufReader<TcpStream>, &str) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let (addr, answer) = (listener.local_addr().expect("bound"), Arc::new(answer));
+    spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let answer = answer.clone();
+            spawn(move || {
+                let mut reader = BufReader::new(stream);
+                while let Some(head) = head(&mut reader) {
+                    if head.starts_with("GET /health") {
+                        let _ = reader.get_mut().write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+                    } else {
+                        answer(&mut reader, &head);
+                    }
+                }
+            });
+        }
+    });
+    addr
+}
+
 fn header(head: &str, name: &str) -> Option<String> {
     let line = head.lines().find(|line| line.to_lowercase().starts_with(&format!("{name}:")))?;
     Some(line.split_once(':')?.1.trim().to_owned())
@@ -83,9 +117,9 @@
 
     /// Ends it as planned; the most that long bodies ever held.
     fn peak(mut self) -> usize {
-        self.process.signal("-TERM");
-        let line = self.process.logs("long_bodies_peak");
-        self.process.ends();
+        self.process.program.signal("TERM");
+        let line = self.process.program.line("long_bodies_peak");
+        assert!(self.process.program.ends().success());
         let peak = line.split("long_bodies_peak: ").nth(1).expect("told");
         peak.split(',').next().expect("told").trim().parse().expect("a number")
     }
--- a/crates/proxy/tests/clusters_under_load.rs
+++ b/crates/proxy/tests/clusters_under_load.rs
@@ -40,7 +40,7 @@
         listed(ready.chain(drains).map(|(n, state)| (ids[n].as_str(), &backends[n], state)))
     };
     proxy.list(&window(0, "").file(1));
-    proxy.line("cluster changed");
+    proxy.program.line("cluster changed");
     let load = Load::start(proxy.listen, 12);
     let mut late = Vec::new();
     for push in 1..=pushes {
@@ -75,7 +75,7 @@
         listed(pair.map(|at| (names[at], &backends[at], "ready")))
     };
     mangler.mangle(Mangling::Renamed, &version(0)).expect("done");
-    proxy.line("cluster changed");
+    proxy.program.line("cluster changed");
     let load = Load::start(proxy.listen, 8);
     let (mut done, mut valid) = (0, 0);
     while done < 1000 {
@@ -93,12 +93,12 @@
     let last = Backend::new("last");
     mangler.mangle(Mangling::InPlace, &listed([("last", &last, "ready")])).expect("done");
     last.wait_past(0);
-    proxy.log.try_iter().for_each(drop);
+    proxy.program.lines();
     for _ in 0..9 {
         let not_valid: Vec<_> = Mangling::ALL.into_iter().filter(|what| !what.is_valid()).collect();
         not_valid.iter().for_each(|what| mangler.mangle(*what, &version(0)).expect("done"));
     }
-    proxy.line("No such file"); // it has seen where the file ended
+    proxy.program.line("No such file"); // it has seen where the file ended
     let mut client = Client::new(proxy.listen);
     (0..200).for_each(|_| assert_eq!(client.call(), Some((200, "last".into()))));
     let tally = load.end();
--- a/crates/proxy/tests/fleet/mod.rs
+++ b/crates/proxy/tests/fleet/mod.rs
@@ -3,14 +3,13 @@
 
 #![allow(dead_code)] // no test file uses all of it
 
+use super::scenario::program::Program;
 use super::scenario::{NEVER, config_file, free_port, fresh, olivecart};
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
-use std::sync::mpsc::{Receiver, channel};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -96,10 +95,9 @@
 
 /// The proxy with an operators' file, in whose directory endpoints are listed in `fleet.toml`.
 pub struct Proxy {
-    program: Child,
+    pub program: Program,
     pub listen: SocketAddr,
     pub disk: PathBuf,
-    pub log: Receiver<String>,
 }
 
 impl Proxy {
@@ -115,31 +113,11 @@
             std::fs::write(disk.join("clusters.toml"), text).expect("written");
             program.arg("--clusters").arg(disk.join("clusters.toml"));
         }
-        let mut program = program.stderr(Stdio::piped()).spawn().expect("it starts");
-        let (lines, log) = channel();
-        let said = BufReader::new(program.stderr.take().expect("piped"));
-        std::thread::spawn(move || said.lines().map_while(Result::ok).for_each(|l| _ = lines.send(l)));
-        let proxy = Proxy { program, listen, disk, log };
-        proxy.line("listening");
+        let proxy = Proxy { program: Program::start(&mut program), listen, disk };
+        proxy.program.line("listening");
         proxy
     }
 
-    pub fn id(&self) -> u32 {
-        self.program.id()
-    }
-
-    /// Waits for a line of the log with this in it, and gives it.
-    pub fn line(&self, with: &str) -> String {
-        let end = Instant::now() + NEVER;
-        loop {
-            let left = end.saturating_duration_since(Instant::now());
-            let line = self.log.recv_timeout(left).unwrap_or_else(|_| panic!("no line with {with}"));
-            if line.contains(with) {
-                return line;
-            }
-        }
-    }
-
     /// Puts a file in the place of the last one.
     pub fn list(&self, text: &str) {
         let beside = self.disk.join(".beside");
@@ -150,21 +128,23 @@
 
 impl Drop for Proxy {
     fn drop(&mut self) {
-        let _ = self.program.kill();
-        let _ = self.program.wait();
         let _ = std::fs::remove_dir_all(&self.disk);
     }
 }
 
 /// A client on one connection.
-pub struct Client(BufReader<TcpStream>);
+pub struct Client {
+    stream: BufReader<TcpStream>,
+    /// The last answer said that its connection ends.
+    pub closes: bool,
+}
 
 impl Client {
     pub fn new(to: SocketAddr) -> Client {
         let stream = TcpStream::connect(to).expect("it listens");
         stream.set_read_timeout(Some(NEVER)).expect("set");
         stream.set_nodelay(true).expect("set");
-        Client(BufReader::new(stream))
+        Client { stream: BufReader::new(stream), closes: false }
     }
 
     /// Status and body of one request's answer; none if the connection ended.
@@ -176,9 +156,9 @@
         static NUMBER: AtomicU64 = AtomicU64::new(0);
         let id = NUMBER.fetch_add(1, SeqCst);
         let text = format!("GET {path} HTTP/1.1\r\nHost: h\r\nX-Request-Id: q{id}\r\nX-Class: view\r\n\r\n");
-        self.0.get_mut().write_all(text.as_bytes()).ok()?;
+        self.stream.get_mut().write_all(text.as_bytes()).ok()?;
         let (mut line, mut status, mut length) = (String::new(), 0, 0);
-        while self.0.read_line(&mut line).ok()? > 0 && !line.trim().is_empty() {
+        while self.stream.read_line(&mut line).ok()? > 0 && !line.trim().is_empty() {
             if let Some(rest) = line.strip_prefix("HTTP/1.1 ") {
                 status = rest.get(..3)?.parse().ok()?;
             } else if let Some((name, value)) = line.split_once(':')
@@ -186,10 +166,11 @@
             {
                 length = value.trim().parse().ok()?;
             }
+            self.closes |= line.to_lowercase().starts_with("connection: close");
             line.clear();
         }
         let mut body = vec![0; length];
-        self.0.read_exact(&mut body).ok()?;
+        self.stream.read_exact(&mut body).ok()?;
         (status > 0).then(|| (status, String::from_utf8_lossy(&body).into_owned()))
     }
 }
--- a/crates/proxy/tests/leaving.rs
+++ b/crates/proxy/tests/leaving.rs
@@ -1,8 +1,10 @@
 //! A planned end while a crowd connects: clients that have called are served for as long as they come.
 
-mod process;
+mod fleet;
 mod scenario;
-use process::{Site, call, counting};
+mod site;
+use fleet::{Backend, Client};
+use site::Site;
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
@@ -14,24 +16,24 @@
 /// How long a proxy that was told to end serves one who calls again and again, beside more than it has descriptors for
 /// that say nothing; and the longest pause between two calls.
 fn serves_for() -> (Duration, Duration) {
-    let (backend, _) = counting();
-    let site = Site::new(32, &[("a", backend)]);
+    let backend = Backend::new("a");
+    let site = Site::new(32, &[("a", backend.addr)]);
     let mut proxy = site.start();
     proxy.is_ready();
-    let mut caller = TcpStream::connect(site.listen).expect("let in");
-    assert!(call(&mut caller, "before").expect("an answer").starts_with("HTTP/1.1 200"));
-    proxy.signal("-TERM");
-    proxy.logs("leaving");
+    let mut caller = Client::new(site.listen);
+    caller.call().expect("an answer");
+    proxy.program.signal("TERM");
+    proxy.program.line("leaving");
     let began = Instant::now();
     let crowd: Vec<_> = (0..200).map(|_| TcpStream::connect(site.listen).expect("queued")).collect();
     let (mut last, mut longest) = (began, Duration::ZERO);
-    while let Some(head) = call(&mut caller, &format!("{:?}", last)) {
-        assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+    while let Some((status, _)) = caller.call() {
+        assert_eq!(status, 200);
         longest = longest.max(last.elapsed());
         last = Instant::now();
     }
     drop(crowd);
-    proxy.ends();
+    assert!(proxy.program.ends().success());
     (last - began, longest)
 }
 
--- a/crates/proxy/tests/scenario/mod.rs
+++ b/crates/proxy/tests/scenario/mod.rs
@@ -25,15 +25,17 @@
 #![allow(dead_code)] // no test file uses all of it
 
 pub mod plane;
+pub mod program;
 
 use olivecart_lab::control_plane::Resources;
 use plane::Plane;
+use program::Program;
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::unix::process::ExitStatusExt;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::{Duration, Instant};
@@ -70,8 +72,7 @@
     let mut stage = Stage::set(known, settings, operators, console);
     for line in text.lines().map(str::trim).filter(|l| !l.is_empty()) {
         if let Err(what) = stage.step(line) {
-            let log: Vec<String> = stage.log.try_iter().collect();
-            panic!("at `{line}`: {what}; the log since: {log:#?}");
+            panic!("at `{line}`: {what}; the log since: {:#?}", stage.program.lines());
         }
     }
 }
@@ -249,7 +250,7 @@
 
 /// The program with its scripted peers and clients.
 struct Stage {
-    program: Child,
+    program: Program,
     listen: SocketAddr,
     peers: HashMap<String, Peer>,
     clients: HashMap<String, BufReader<TcpStream>>,
@@ -257,7 +258,6 @@
     disk: PathBuf,
     /// There if the operators' file names it.
     plane: Option<Plane>,
-    log: Receiver<String>,
     /// There if the scenario has operators that call.
     console: Option<SocketAddr>,
 }
@@ -328,7 +328,7 @@
             servers.join(",")
         ));
         let mut program = olivecart("serve", &config);
-        program.env("EDGE_DISCOVERY", peers["discovery"].addr.to_string()).stderr(Stdio::piped());
+        program.env("EDGE_DISCOVERY", peers["discovery"].addr.to_string());
         console.iter().for_each(|console| _ = program.env("EDGE_CONSOLE", console.to_string()));
         let disk = fresh("");
         let names_plane = operators.is_some_and(|text| text.contains("@plane"));
@@ -340,22 +340,9 @@
             std::fs::write(disk.join("clusters.toml"), text).expect("written");
             program.env("OLIVECART_CLUSTERS", disk.join("clusters.toml"));
         }
-        let mut program = program.spawn().expect("the program starts");
-        let (lines, log) = channel();
-        let said = BufReader::new(program.stderr.take().expect("piped"));
-        // Read to the end, whether or not anybody asks for it.
-        std::thread::spawn(move || said.lines().map_while(Result::ok).for_each(|l| _ = lines.send(l)));
-        let stage = Stage {
-            program,
-            listen,
-            peers,
-            clients: HashMap::new(),
-            file: config,
-            disk,
-            plane,
-            log,
-            console,
-        };
+        let program = Program::start(&mut program);
+        let clients = HashMap::new();
+        let stage = Stage { program, listen, peers, clients, file: config, disk, plane, console };
         stage.answers("/health/live", "200").expect("it starts");
         stage
     }
@@ -385,13 +372,11 @@
             ("proxy", "wait", "ready") => self.answers("/health/ready", "200"),
             ("proxy", "expect", "unready") => self.answers("/health/ready", "503"),
             ("proxy", "send", name) => {
-                let (name, id) = (format!("-{name}"), self.program.id().to_string());
-                Command::new("kill").args([name, id]).status().map_err(|e| e.to_string()).map(drop)
+                self.program.signal(name);
+                Ok(())
             }
             ("proxy", "expect", _) if rest.starts_with("log ") => {
-                let end = Instant::now() + NEVER;
-                let next = || self.log.recv_timeout(end.saturating_duration_since(Instant::now()));
-                while !next().map_err(|_| "no such line")?.contains(&rest[4..]) {}
+                self.program.line(&rest[4..]);
                 Ok(())
             }
             ("file", "send", _) => {
@@ -412,11 +397,11 @@
                 plane.as_mut().ok_or("no control plane")?.step(verb, rest, |id| peers[id].addr)
             }
             ("proxy", "wait", "exit") => {
-                let status = self.program.wait().map_err(|e| e.to_string())?;
+                let status = self.program.ends();
                 if status.success() { Ok(()) } else { Err(status.to_string()) }
             }
             ("proxy", "wait", _) if rest.starts_with("signal ") => {
-                let status = self.program.wait().map_err(|e| e.to_string())?;
+                let status = self.program.ends();
                 let ended = status.signal().map(|signal| signal.to_string());
                 if ended.as_deref() == Some(&rest[7..]) { Ok(()) } else { Err(status.to_string()) }
             }
@@ -544,7 +529,5 @@
 impl Drop for Stage {
     fn drop(&mut self) {
         let _ = std::fs::remove_dir_all(&self.disk); // there only with an operators' file
-        let _ = self.program.kill(); // ended already, in the scenarios that wait for it
-        let _ = self.program.wait();
     }
 }
--- a/crates/proxy/tests/sidecar.rs
+++ b/crates/proxy/tests/sidecar.rs
@@ -5,22 +5,22 @@
 mod scenario;
 
 use fleet::{Backend, Client};
+use scenario::program::Program;
 use scenario::{NEVER, free_port, fresh};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::{Duration, Instant};
 
 /// What is around a sidecar: its file, and the addresses in it.
 struct Sidecar {
-    program: Child,
+    program: Program,
     inbound: SocketAddr,
     calls: SocketAddr,
     admin: SocketAddr,
     disk: PathBuf,
-    log: Receiver<String>,
 }
 
 impl Sidecar {
@@ -38,33 +38,14 @@
              stream = false\n[[sources]]\nname = \"list\"\nfile = \"fleet.toml\"\n"
         );
         std::fs::write(disk.join("proxy.toml"), text).expect("written");
-        let mut program = Command::new(env!("CARGO_BIN_EXE_olivecart"))
-            .arg("sidecar")
-            .arg("--config")
-            .arg(disk.join("proxy.toml"))
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("it starts");
-        let (lines, log) = channel();
-        let said = BufReader::new(program.stderr.take().expect("piped"));
-        std::thread::spawn(move || said.lines().map_while(Result::ok).for_each(|l| _ = lines.send(l)));
-        let sidecar = Sidecar { program, inbound, calls, admin, disk, log };
-        sidecar.line("listening");
-        sidecar.line("cluster changed");
+        let mut program = Command::new(env!("CARGO_BIN_EXE_olivecart"));
+        let program = program.arg("sidecar").arg("--config").arg(disk.join("proxy.toml"));
+        let sidecar = Sidecar { program: Program::start(program), inbound, calls, admin, disk };
+        sidecar.program.line("listening");
+        sidecar.program.line("cluster changed");
         sidecar
     }
 
-    fn line(&self, with: &str) {
-        let end = Instant::now() + NEVER;
-        loop {
-            let left = end.saturating_duration_since(Instant::now());
-            let line = self.log.recv_timeout(left).unwrap_or_else(|_| panic!("no line with {with}"));
-            if line.contains(with) {
-                return;
-            }
-        }
-    }
-
     fn admin(&self, request: &str) -> (u16, String) {
         let mut stream = TcpStream::connect(self.admin).expect("it listens");
         write!(stream, "{request} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n").expect("written");
@@ -86,8 +67,6 @@
 
 impl Drop for Sidecar {
     fn drop(&mut self) {
-        let _ = self.program.kill();
-        let _ = self.program.wait();
         let _ = std::fs::remove_dir_all(&self.disk);
     }
 }
@@ -223,8 +202,8 @@
     assert_eq!(Client::new(calls).get("/out"), Some((200, "records".into())));
     answer.send("done".into()).expect("asked for");
     assert_eq!(client.join().expect("no panic"), Some((200, "done".into())));
-    sidecar.line("inbound has ended");
-    assert!(sidecar.program.wait().expect("ended").success());
+    sidecar.program.line("inbound has ended");
+    assert!(sidecar.program.ends().success());
 }
 
 #[test]
@@ -272,8 +251,7 @@
     let text = std::fs::read_to_string(&file).expect("written");
     let reload = |text: &str| {
         std::fs::write(&file, text).expect("written");
-        let id = sidecar.program.id().to_string();
-        assert!(Command::new("kill").args(["-HUP", &id]).status().expect("runs").success());
+        sidecar.program.signal("HUP");
     };
     let client = || {
         let inbound = sidecar.inbound;
@@ -286,14 +264,14 @@
     for round in 0..50 {
         // Torn, bad, and valid with a key that waits for a start.
         reload(&text[..text.len() / 2]);
-        sidecar.line("stays as it was");
+        sidecar.program.line("stays as it was");
         reload(&text.replace("max_requests = 2", "max_requests = 0"));
-        sidecar.line("stays as it was");
+        sidecar.program.line("stays as it was");
         let most = 2 + round % 2;
         let other = text.replace("max_requests = 2", &format!("max_requests = {most}"));
         reload(&other.replace("attempts = 2", "attempts = 1"));
-        sidecar.line("keys: outbound[records].attempts");
-        sidecar.line("read again");
+        sidecar.program.line("keys: outbound[records].attempts");
+        sidecar.program.line("read again");
     }
     // The last one allows three.
     open.push(client());
--- /dev/null
+++ b/crates/proxy/tests/site/mod.rs
@@ -0,0 +1,86 @@
+//! One place in service, where processes with a console start beside and after each other.
+
+#![allow(dead_code)] // no test file uses all of it
+
+use super::scenario::program::Program;
+use super::scenario::{NEVER, SETTINGS, config_file, free_port, fresh, olivecart};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::time::Instant;
+
+/// What all processes of a test share: the clients' address, and the directory that outlives each of them.
+pub struct Site {
+    pub listen: SocketAddr,
+    config: PathBuf,
+    dir: PathBuf,
+}
+
+impl Site {
+    /// With 256 descriptors, so much memory, and these backends in the known list.
+    pub fn new(memory_mb: usize, backends: &[(&str, SocketAddr)]) -> Site {
+        let (listen, discovery) = (free_port(), free_port());
+        let server = |(id, addr): &(&str, SocketAddr)| {
+            format!(r#"{{"id":"{id}","addr":"{addr}","state":"ready","zone":"z","cell":1}}"#)
+        };
+        let servers: Vec<String> = backends.iter().map(server).collect();
+        let config = config_file(&format!(
+            r#"{{"listen":"{listen}","discovery":"{discovery}","limits":{{"sockets":256,"memory_mb":{memory_mb}}},
+            "known":{{"version":1,"full":true,"servers":[{}]}},"settings":{SETTINGS}}}"#,
+            servers.join(",")
+        ));
+        let dir = fresh("");
+        std::fs::create_dir(&dir).expect("a directory");
+        Site { listen, config, dir }
+    }
+
+    pub fn start(&self) -> Process {
+        let console = free_port();
+        let mut program = olivecart("serve", &self.config);
+        program.env("TMPDIR", &self.dir).env("EDGE_CONSOLE", console.to_string());
+        Process { program: Program::start(&mut program), console }
+    }
+
+    pub fn socket(&self) -> PathBuf {
+        self.dir.join(format!("olivecart-{}-{}.sock", self.listen.ip(), self.listen.port()))
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+pub struct Process {
+    pub program: Program,
+    console: SocketAddr,
+}
+
+impl Process {
+    pub fn operator(&self, method: &str, path: &str, body: &str) -> String {
+        let Ok(mut stream) = TcpStream::connect(self.console) else { return String::new() };
+        let _ = stream.set_read_timeout(Some(NEVER)); // bound, and not answered if its start hangs
+        let length = body.len();
+        let _ = write!(stream, "{method} {path} HTTP/1.1\r\nContent-Length: {length}\r\n\r\n{body}");
+        let mut answer = String::new();
+        let _ = stream.read_to_string(&mut answer);
+        answer
+    }
+
+    pub fn waits_for(&self, what: &str, holds: impl Fn(&Process) -> bool) {
+        let end = Instant::now() + NEVER;
+        while !holds(self) {
+            assert!(Instant::now() < end, "never: {what}");
+            std::thread::yield_now();
+        }
+    }
+
+    pub fn is_ready(&self) {
+        self.waits_for("ready", |p| p.operator("GET", "/_ready", "").starts_with("HTTP/1.1 200"));
+    }
+
+    pub fn told(&self, figure: &str) {
+        self.waits_for(figure, |p| p.operator("GET", "/_vars", "").lines().any(|line| line == figure));
+    }
+}
--- a/crates/proxy/tests/upgrade.rs
+++ b/crates/proxy/tests/upgrade.rs
@@ -1,10 +1,12 @@
 //! Upgrades: the next process takes over from the one that serves, and nobody at the door notices.
 
-mod process;
+mod fleet;
 mod scenario;
-use process::{Process, Site, call, counting};
+mod site;
+use fleet::{Backend, Client};
+use site::{Process, Site};
 use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::Path;
 use std::sync::Arc;
@@ -13,18 +15,16 @@
 use std::time::Duration;
 
 /// Clients that call until told to stop, on kept connections and on new ones, each request once.
-fn crowd(listen: SocketAddr, stop: &Arc<AtomicBool>) -> Vec<JoinHandle<usize>> {
+fn crowd(listen: SocketAddr, stop: &Arc<AtomicBool>) -> Vec<JoinHandle<u64>> {
     let client = |n: usize| {
         let stop = stop.clone();
         spawn(move || {
             let (mut kept, mut answered) = (None, 0);
             while !stop.load(SeqCst) {
-                let mut stream = kept.take().unwrap_or_else(|| TcpStream::connect(listen).expect("let in"));
-                let head = call(&mut stream, &format!("{n}-{answered}")).expect("an answer");
-                assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+                let mut client = kept.take().unwrap_or_else(|| Client::new(listen));
+                assert_eq!(client.call().map(|(status, _)| status), Some(200));
                 answered += 1;
-                let closes = head.to_lowercase().contains("connection: close");
-                kept = Some(stream).filter(|_| n.is_multiple_of(2) && !closes);
+                kept = Some(client).filter(|client| n.is_multiple_of(2) && !client.closes);
             }
             answered
         })
@@ -32,10 +32,15 @@
     (0..8).map(client).collect()
 }
 
+/// One request on a connection of its own.
+fn asks(site: &Site) {
+    assert_eq!(Client::new(site.listen).call().map(|(status, _)| status), Some(200));
+}
+
 #[test]
 fn upgrades_one_after_another_lose_no_request_and_no_connection() {
-    let (backend, served) = counting();
-    let site = Site::new(32, &[("a", backend)]);
+    let backend = Backend::new("a");
+    let site = Site::new(32, &[("a", backend.addr)]);
     let mut serving = site.start();
     serving.is_ready();
     let stop = Arc::new(AtomicBool::new(false));
@@ -43,21 +48,19 @@
     for _ in 0..4 {
         let next = site.start();
         next.is_ready();
-        serving.signal("-TERM");
-        std::mem::replace(&mut serving, next).ends();
-        let before = served.load(SeqCst);
-        serving.waits_for("served by the next one alone", |_| served.load(SeqCst) > before + 20);
+        serving.program.signal("TERM");
+        assert!(std::mem::replace(&mut serving, next).program.ends().success());
+        backend.wait_past(backend.calls() + 20); // served by the next one alone
     }
     stop.store(true, SeqCst);
-    let answered: usize =
-        clients.into_iter().map(|client| client.join().expect("each was answered 200")).sum();
-    assert_eq!(served.load(SeqCst), answered, "each ran once");
+    let answered: u64 = clients.into_iter().map(|client| client.join().expect("each was answered 200")).sum();
+    assert_eq!(backend.calls(), answered, "each ran once");
 }
 
 #[test]
 fn what_is_out_by_hand_stays_so_and_calls_to_either_process_bind_both() {
-    let ((a, served), (b, _)) = (counting(), counting());
-    let site = Site::new(32, &[("a", a), ("b", b), ("c", b), ("d", b)]);
+    let [a, b] = ["a", "b"].map(Backend::new);
+    let site = Site::new(32, &[("a", a.addr), ("b", b.addr), ("c", b.addr), ("d", b.addr)]);
     let mut old = site.start();
     old.is_ready();
     let by_hand = |p: &Process, what: &str, id: &str| {
@@ -74,19 +77,17 @@
     by_hand(&new, "attach", "c");
     old.told("edge.pool_ejected=2");
     new.is_ready();
-    old.signal("-TERM");
-    old.ends();
-    let before = served.load(SeqCst);
-    for n in 0..20 {
-        assert!(site.ask(&format!("r{n}")).starts_with("HTTP/1.1 200"));
-    }
-    assert_eq!(served.load(SeqCst), before, "a is out");
+    old.program.signal("TERM");
+    assert!(old.program.ends().success());
+    let before = a.calls();
+    (0..20).for_each(|_| asks(&site));
+    assert_eq!(a.calls(), before, "a is out");
 }
 
 #[test]
-fn a_new_process_that_dies_changes_nothing() {
-    let (a, _) = counting();
-    let site = Site::new(32, &[("a", a)]);
+fn a_process_that_dies_on_either_side_changes_nothing() {
+    let a = Backend::new("a");
+    let site = Site::new(32, &[("a", a.addr)]);
     let mut old = site.start();
     old.is_ready();
     for ready in [false, true] {
@@ -94,27 +95,32 @@
         if ready {
             new.is_ready();
             new.waits_for("accepted by it alone", |_| {
-                site.ask("x");
+                asks(&site);
                 new.operator("GET", "/_vars", "").contains("edge.ok.view=1")
             });
         } else {
-            new.logs("takes over");
+            new.program.line("takes over");
         }
-        new.signal("-KILL");
-        let _ = new.program.wait();
-        assert!(site.ask("y").starts_with("HTTP/1.1 200"));
+        new.program.signal("KILL");
+        new.program.ends();
+        asks(&site);
+    }
+    old.program.line("ended");
+    // Nor does the death of the one before: the next takes over from this one.
+    for _ in 0..2 {
+        let new = site.start();
+        new.is_ready();
+        old.program.signal("KILL");
+        old.program.ends();
+        new.program.line("ended: Older");
+        old = new;
+        asks(&site);
     }
-    old.logs("ended");
-    let new = site.start();
-    new.is_ready();
-    old.signal("-TERM");
-    old.ends();
-    assert!(site.ask("z").starts_with("HTTP/1.1 200"));
 }
 
 #[test]
 fn whatever_lies_in_the_directory_a_process_starts() {
-    let (a, _) = counting();
+    let a = Backend::new("a");
     let stale = |path: &Path| drop(UnixListener::bind(path).expect("bound"));
     let foreign = |path: &Path| std::fs::write(path, "{\"state\":").expect("written");
     let directory = |path: &Path| std::fs::create_dir(path).expect("made");
@@ -138,11 +144,11 @@
     };
     let cases: [&dyn Fn(&Path); 6] = [&stale, &foreign, &directory, &other_build, &mute, &drips];
     for (n, lay) in cases.iter().enumerate() {
-        let site = Site::new(32, &[("a", a)]);
+        let site = Site::new(32, &[("a", a.addr)]);
         lay(&site.socket());
         let process = site.start();
         process.is_ready();
-        assert!(site.ask("x").starts_with("HTTP/1.1 200"), "case {n}");
+        asks(&site);
         if n == 2 {
             // No path to hand over at; the address is shared all the same.
             let next = site.start();
--- a/crates/proxy/tests/xds.rs
+++ b/crates/proxy/tests/xds.rs
@@ -204,7 +204,7 @@
         .replace("@plane", &plane.address().to_string())
         .replace("node =", &format!("variant = \"{variant}\"\nnode ="));
     let proxy = Proxy::start(Some(&operators), SETTINGS);
-    proxy.line("cluster changed");
+    proxy.program.line("cluster changed");
     let load = Load::start(proxy.listen, 12);
     let mut late = Vec::new();
     for push in 1..=pushes {
