--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -321,6 +321,16 @@
 mod tests {
     use super::*;
 
+    fn gone(all: &[&Rc<Client>]) -> Vec<bool> {
+        all.iter().map(|client| client.cut.get()).collect()
+    }
+
+    /// When one that has sent nothing came: however long a test takes to set up, it is as old as it says.
+    fn came_at(silent: &Client) -> Instant {
+        let State::Silent((since, _)) = silent.state.get() else { panic!("it has sent something") };
+        since
+    }
+
     #[test]
     fn who_sends_slowly_is_kept_while_others_that_send_nothing_come_and_go() {
         let clients: Rc<Clients> = Rc::default();
@@ -330,9 +340,8 @@
         let idle = clients.enter();
         idle.in_work();
         idle.idles();
-        let gone = |all: &[&Rc<Client>]| all.iter().map(|c| c.cut.get()).collect::<Vec<_>>();
         let all = [&slow, &idle, &silent[0], &silent[1], &silent[2]];
-        let now = Instant::now();
+        let now = came_at(&silent[0]);
         // Nobody is cut off who has just come, but for one that lies idle.
         clients.make_room_at(now);
         clients.make_room_at(now);
@@ -362,8 +371,7 @@
         let stalled = clients.enter();
         stalled.came();
         let silent = clients.enter();
-        let now = Instant::now();
-        let gone = |all: &[&Rc<Client>]| all.iter().map(|c| c.cut.get()).collect::<Vec<_>>();
+        let now = came_at(&silent);
         let all = [&visitor, &caller, &other, &stalled, &silent];
         // Whoever only looked in goes first; then, in service, the idle one whose client can come again.
         clients.make_room_at(now);
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -315,3 +315,18 @@
         _ => bad("enough: 80 at least, or 104 with a console"),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn two_processes_hold_no_more_descriptors_than_one_may_have() {
+        for sockets in [208, 256, 384, 1024] {
+            let limits = Limits { sockets, ..Limits::default() };
+            let part = share_out(&limits, console::CONNECTIONS).expect("enough").part(2);
+            let each = OWN_SOCKETS + console::CONNECTIONS + part.clients + part.backends;
+            assert!(2 * each <= sockets, "{sockets}: {each} each");
+        }
+    }
+}
