Wait in the upgrade test until the older process saw the newer one die

Seen: under load (24 runs beside one another on four cores) 3 of about 290 runs of a_process_that_dies_on_either_side_changes_nothing ended with: no line with 'ended: Older'.

Cause: after killing the newer process the test started the next one at once. Until the older one has read the end of its connection it turns the next away, as it should, and that one then starts beside it and shares the address; the process the test kills last is then not the one it took over from.

Change: each round waits for the older one's own line 'ended: Newer' before the next begins.

--- a/crates/proxy/tests/upgrade.rs
+++ b/crates/proxy/tests/upgrade.rs
@@ -103,9 +103,9 @@
         }
         new.program.signal("KILL");
         new.program.ends();
+        old.program.line("ended: Newer"); // until then the next one is turned away
         asks(&site);
     }
-    old.program.line("ended");
     // Nor does the death of the one before: the next takes over from this one.
     for _ in 0..2 {
         let new = site.start();
