Give tests addresses without binding them first; a wait that fails shows the log

Seen: one of 936 runs of the upgrade tests (24 beside one another on four cores) ended with 'never: ready' for the first process of a test, which had nobody before it.

Cause, by what was measured, not by that run's log, which the test did not show: free_port bound a port and let it go. A child that another thread of the tests starts at that moment has the bound socket until its exec. A program apart from the project that binds, drops and binds again while six threads start 'true': 1,129 of 263,350 addresses were in use at once after the drop, 10 of them still 10 ms later.

Change: free_port binds nothing. The address is 127 with the process's id, the port a number of its own from 10,000 on, below the range that the system takes for outgoing connections. Where a wait for a line or a state fails, the message holds the lines of the log.

--- a/crates/proxy/tests/scenario/mod.rs
+++ b/crates/proxy/tests/scenario/mod.rs
@@ -32,12 +32,12 @@
 use program::Program;
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::unix::process::ExitStatusExt;
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU16, AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::{Duration, Instant};
 
@@ -281,16 +281,13 @@
     console: Option<SocketAddr>,
 }
 
-/// Where nobody listens, and nobody else of this run will: each has a loopback address for itself.
-/// Danger: a port of 127.0.0.1 that was free a moment ago may go to a peer of another test, which then answers in
-/// place of a program that has not started yet.
+/// Where nobody listens, and nobody else of this run will: each process has a loopback address for itself.
+/// Danger: a port found free by binding it may go to a peer of another test, which then answers in place of a program
+/// that has not started yet; and a child that another test starts at that moment holds the port bound until its exec.
 pub fn free_port() -> SocketAddr {
-    static NUMBER: AtomicU32 = AtomicU32::new(0);
-    let (process, number) = (std::process::id(), NUMBER.fetch_add(1, Ordering::Relaxed));
-    let [.., high, low] = process.to_be_bytes();
-    let address = Ipv4Addr::new(127, high % 254 + 1, low, (number % 254 + 1) as u8);
-    let listener = TcpListener::bind((address, 0)).expect("a port");
-    listener.local_addr().expect("bound")
+    static NUMBER: AtomicU16 = AtomicU16::new(10_000);
+    let [_, rest, high, low] = std::process::id().to_be_bytes();
+    SocketAddr::from(([127, high, low, rest + 1], NUMBER.fetch_add(1, Ordering::Relaxed)))
 }
 
 /// A path that nothing else of this run has.
--- a/crates/proxy/tests/scenario/program.rs
+++ b/crates/proxy/tests/scenario/program.rs
@@ -30,11 +30,13 @@
     pub fn line(&self, with: &str) -> String {
         let end = Instant::now() + NEVER;
         let next = || self.log.recv_timeout(end.saturating_duration_since(Instant::now()));
+        let mut others = Vec::new();
         loop {
-            let line = next().unwrap_or_else(|_| panic!("no line with {with}"));
+            let line = next().unwrap_or_else(|_| panic!("no line with {with}: {others:#?}"));
             if line.contains(with) {
                 return line;
             }
+            others.push(line);
         }
     }
 
--- a/crates/proxy/tests/site/mod.rs
+++ b/crates/proxy/tests/site/mod.rs
@@ -66,7 +66,7 @@
     pub fn waits_for(&self, what: &str, holds: impl Fn(&Process) -> bool) {
         let end = Instant::now() + NEVER;
         while !holds(self) {
-            assert!(Instant::now() < end, "never: {what}");
+            assert!(Instant::now() < end, "never: {what}; the log since: {:#?}", self.program.lines());
             std::thread::yield_now();
         }
     }
