Answer later processes only when the earlier one is sure to know that this one is ready

Seen: 3 of 480 runs of the upgrade tests under load ended with no line 'ended: Newer' in the second round of a_process_that_dies_on_either_side_changes_nothing: the older process was never asked by the third one.

Cause: handover/core.rs, Event::Ready gave TellReady and Answer in this order, but the shell only queued the word for the older process and then put its own socket at the path at once. Killed between the two, the newer one left a dead socket at the path; the older one knew of no ready process and so did not answer there anew. The next upgrade then took over nothing and shared the address with the old process.

Change: Ready only tells; the shell reports ReadyTold when the line is written (it is then read whatever becomes of the writer), and only that, or the older one's end, answers at the path. Not taken: have the older one answer anew whenever a newer one goes; connections that wait at its first socket would be lost.

Checked: a test that lets the newer process die after each step fails with the order before; 480 runs of the upgrade tests, 24 at once on four cores: no failure.

--- a/crates/proxy/src/handover/core.rs
+++ b/crates/proxy/src/handover/core.rs
@@ -26,6 +26,8 @@
 pub enum Event {
     /// This process is ready to serve.
     Ready,
+    /// The earlier process has been told so, and will read it whatever becomes of this one.
+    ReadyTold,
     /// A later process asks to be let in.
     NewerCame,
     /// It is ready to serve.
@@ -99,11 +101,10 @@
     /// Takes one event, and says what is to be done, in this order.
     pub fn handle(&mut self, event: Event) -> Vec<Action> {
         match event {
-            Event::Ready => {
-                // Danger: the other way round, one that dies between the two leaves nobody at the path.
-                let tell = self.older.then_some(Action::TellReady);
-                tell.into_iter().chain(self.answer()).collect()
-            }
+            // Danger: answered at the path before the older one is sure to know, one that dies between the two leaves
+            // nobody there, and the next process shares the address where it should take over.
+            Event::Ready if self.older => vec![Action::TellReady],
+            Event::Ready | Event::ReadyTold => self.answer().into_iter().collect(),
             Event::NewerCame if self.newer.is_some() => vec![Action::TurnAway],
             Event::NewerCame => {
                 self.newer = Some(Newer::Starts);
@@ -161,7 +162,8 @@
         assert_eq!(first, [Action::Share(2)]);
         assert_eq!(new.handle(Event::ByHand(change())), [Action::Tell(Side::Older, change())]);
         assert_eq!(old.handle(Event::Told(Side::Newer, change())), [Action::Apply(change())]);
-        assert_eq!(new.handle(Event::Ready), [Action::TellReady, Action::Answer]);
+        assert_eq!(new.handle(Event::Ready), [Action::TellReady]);
+        assert_eq!(new.handle(Event::ReadyTold), [Action::Answer]);
         assert_eq!(old.handle(Event::NewerReady), [Action::Accept(false)]);
         assert!(old.is_replaced());
         assert_eq!(new.handle(Event::Gone(Side::Older)), [Action::Share(1)]);
@@ -183,12 +185,38 @@
         assert_eq!(new.handle(Event::Gone(Side::Older)), [Action::Share(1), Action::Answer]);
     }
 
+    #[test]
+    fn wherever_the_new_process_dies_the_old_one_answers_at_the_path() {
+        for steps in 0..4 {
+            let ((mut old, _), (mut new, _)) = (Core::start(false), Core::start(true));
+            old.handle(Event::NewerCame);
+            let mut there = "old";
+            let mut perform = |who, actions: Vec<Action>| {
+                if actions.contains(&Action::Answer) {
+                    there = who;
+                }
+            };
+            if steps > 0 {
+                perform("new", new.handle(Event::Ready));
+            }
+            if steps > 1 {
+                perform("old", old.handle(Event::NewerReady));
+            }
+            if steps > 2 {
+                perform("new", new.handle(Event::ReadyTold));
+            }
+            perform("old", old.handle(Event::Gone(Side::Newer)));
+            assert_eq!(there, "old", "after {steps} steps");
+        }
+    }
+
     /// What the actions so far amount to, against a plain account of who is there.
     #[test]
     fn on_any_order_of_events_it_accepts_unless_replaced_and_keeps_to_its_part() {
         use proptest::prelude::*;
         let event = prop_oneof![
             Just(Event::Ready),
+            Just(Event::ReadyTold),
             Just(Event::NewerCame),
             Just(Event::NewerReady),
             Just(Event::Gone(Side::Older)),
--- a/crates/proxy/src/handover/mod.rs
+++ b/crates/proxy/src/handover/mod.rs
@@ -278,7 +278,7 @@
         self.links.borrow_mut()[side as usize] = Some(lines);
         let (reader, writer) = stream.into_split();
         info!(self.log, "upgrade"; "beside" => ?side);
-        let writing = actix_rt::spawn(write(writer, queue));
+        let writing = actix_rt::spawn(self.clone().write(writer, queue));
         let this = self.clone();
         actix_rt::spawn(async move {
             let ended = this.read(side, reader, rest).await;
@@ -308,6 +308,17 @@
             }
         }
     }
+
+    async fn write(self: Rc<Self>, mut writer: OwnedWriteHalf, mut queue: mpsc::Receiver<Message>) {
+        while let Some(message) = queue.recv().await {
+            if writer.write_all(&message.line()).await.is_err() {
+                return;
+            }
+            if matches!(message, Message::Ready) {
+                self.on(Event::ReadyTold);
+            }
+        }
+    }
 }
 
 async fn accept(listener: UnixListener, handover: Weak<Handover>) {
@@ -330,11 +341,3 @@
         }
     }
 }
-
-async fn write(mut writer: OwnedWriteHalf, mut queue: mpsc::Receiver<Message>) {
-    while let Some(message) = queue.recv().await {
-        if writer.write_all(&message.line()).await.is_err() {
-            return;
-        }
-    }
-}
