--- a/crates/proxy/tests/site/mod.rs
+++ b/crates/proxy/tests/site/mod.rs
@@ -42,6 +42,11 @@
         Process { program: Program::start(&mut program), console }
     }
 
+    /// As a build without upgrades: it has no console, and the address for itself.
+    pub fn start_alone(&self) -> Program {
+        Program::start(&mut olivecart("serve", &self.config))
+    }
+
     pub fn socket(&self) -> PathBuf {
         self.dir.join(format!("olivecart-{}-{}.sock", self.listen.ip(), self.listen.port()))
     }
--- a/crates/proxy/tests/upgrade.rs
+++ b/crates/proxy/tests/upgrade.rs
@@ -154,6 +154,21 @@
     assert!(first.program.ends().success());
 }
 
+#[test]
+fn a_process_without_upgrades_is_waited_for() {
+    let a = Backend::new("a");
+    let site = Site::new(32, &[("a", a.addr)]);
+    let mut before = site.start_alone();
+    before.line("listening");
+    asks(&site);
+    let next = site.start();
+    next.program.line("nothing to take over");
+    before.signal("KILL");
+    before.ends();
+    next.is_ready();
+    asks(&site);
+}
+
 #[test]
 fn whatever_lies_in_the_directory_a_process_starts() {
     let a = Backend::new("a");
