Name the call that tells an upgrade of the end by what it does

Seen on rereading: Handover::leaves reads as a question, but tells the state machine that this process ends; and shutdown::on_signal got it as 'replaced', a test without effects that may be called at any time. Change: leave, FnOnce, and both comments say what it does. Nothing else. Checked: the upgrade tests, clippy.

--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -286,8 +286,8 @@
         };
         actix_rt::spawn(reload::on_signal(hang_up, origin, adopt, log.clone()));
         let front = actix_rt::spawn(listen::serve(listener, gate.clone()));
-        let replaced = || beside.as_ref().is_some_and(Handover::leaves);
-        shutdown::on_signal(gate, replaced, log.clone()).await?;
+        let leave = || beside.as_ref().is_some_and(Handover::leave);
+        shutdown::on_signal(gate, leave, log.clone()).await?;
         front.abort();
         info!(log, "stopped"; "long_bodies_peak" => budget.peak(), "of" => bodies);
         Ok::<_, Box<dyn std::error::Error>>(())
--- a/crates/proxy/src/handover/mod.rs
+++ b/crates/proxy/src/handover/mod.rs
@@ -171,8 +171,8 @@
         handover
     }
 
-    /// This process has been told to end. Whether the next one serves in its place.
-    pub fn leaves(self: &Rc<Self>) -> bool {
+    /// This process has been told to end, and takes nothing back if the next one serves in its place. Whether it does.
+    pub fn leave(self: &Rc<Self>) -> bool {
         self.on(Event::Leaving);
         self.core.borrow().is_replaced()
     }
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -24,11 +24,11 @@
 const MOVING: Duration = Duration::from_millis(1000);
 const STEP: Duration = Duration::from_millis(10);
 
-/// Waits for SIGTERM or an interrupt, and then until nothing is left to answer. `replaced`: whether another process
-/// serves in this one's place.
-pub async fn on_signal(gate: Rc<Gate>, replaced: impl Fn() -> bool, log: Logger) -> io::Result<()> {
+/// Waits for SIGTERM or an interrupt, and then until nothing is left to answer. `leave` hears of the signal, and says
+/// whether another process serves in this one's place.
+pub async fn on_signal(gate: Rc<Gate>, leave: impl FnOnce() -> bool, log: Logger) -> io::Result<()> {
     asked(&Notify::new()).await?;
-    if replaced() {
+    if leave() {
         hand_over(gate, &log).await
     } else {
         drain(&[gate], &log).await
