--- a/crates/proxy/src/latency.rs
+++ b/crates/proxy/src/latency.rs
@@ -40,18 +40,12 @@
 
     #[test]
     fn the_first_answer_counts_for_three_times_its_time_and_equal_ones_come_down_to_it() {
-        let (mut estimate, time) = (LatencyEstimate::default(), Duration::from_millis(200));
-        assert_eq!(estimate.upper_bound(), None);
-        estimate.observe(time);
-        assert_eq!(estimate.upper_bound(), Some(3 * time));
-        (0..100).for_each(|_| estimate.observe(time));
-        assert!(
-            estimate.upper_bound().is_some_and(|most| most >= time && most < time + Duration::from_millis(1))
-        );
-        estimate.observe(5 * time);
-        assert!(
-            estimate.upper_bound().is_some_and(|most| most > 5 * time),
-            "one that strays widens the deviation"
-        );
+        let after = |times: &[u64]| {
+            let mut estimate = LatencyEstimate::default();
+            times.iter().for_each(|ms| estimate.observe(Duration::from_millis(*ms)));
+            estimate.upper_bound().map(|most| most.as_millis())
+        };
+        assert_eq!((after(&[]), after(&[200]), after(&[200; 100])), (None, Some(600), Some(200)));
+        assert!(after(&[200, 200, 1000]) > Some(1000), "one that strays widens the deviation");
     }
 }
--- a/crates/proxy/tests/bodies.rs
+++ b/crates/proxy/tests/bodies.rs
@@ -97,15 +97,10 @@
         let ids: Vec<String> = (0..backends.len()).map(|n| n.to_string()).collect();
         let backends: Vec<_> = ids.iter().map(String::as_str).zip(backends.iter().copied()).collect();
         let site = Site::new(MEMORY_MB, &backends);
-        let process = site.start();
-        process.is_ready();
+        let process = site.serving();
         Proxy { site, process }
     }
 
-    fn listen(&self) -> SocketAddr {
-        self.site.listen
-    }
-
     /// Ends it as planned; the most that long bodies ever held.
     fn peak(mut self) -> usize {
         self.process.program.signal("TERM");
@@ -176,18 +171,18 @@
 #[test]
 fn thirty_two_megabytes_pass_both_ways_byte_for_byte_and_many_at_once_stay_under_the_budget() {
     let proxy = Proxy::start(&[backend(mirror(MB, false)), backend(mirror(3 * MB + 1, true))]);
-    let listen = proxy.listen();
+    let listen = proxy.site.listen;
     // All together 256 MB each way, where the proxy may have 32.
     let clients = (0..8).map(|number| {
         spawn(move || exchange(listen, number, 32 * MB, 32 * MB, MB - number, number % 2 == 1))
     });
     let clients: Vec<_> = clients.collect();
     // Beside them, one that reads nothing of its answer, and ordinary clients.
-    let mut stuck = connect(proxy.listen());
+    let mut stuck = connect(proxy.site.listen);
     let idle = request("GET", 99, &format!("X-Size: {}\r\n", 32 * MB));
     stuck.get_mut().write_all(idle.as_bytes()).expect("read");
     for number in 100..150 {
-        exchange(proxy.listen(), number, 10, 10, 3, false);
+        exchange(proxy.site.listen, number, 10, 10, 3, false);
     }
     clients.into_iter().for_each(|client| client.join().expect("every byte as it was sent"));
     drop(stuck);
@@ -201,8 +196,8 @@
     for (number, (size, piece)) in
         [(70_000, 1), (65_536, 65_536), (65_537, 7), (300_000, 1000), (1, 1)].into_iter().enumerate()
     {
-        exchange(proxy.listen(), number, size, size, piece, false);
-        exchange(proxy.listen(), 10 + number, size, size, piece.max(10), true);
+        exchange(proxy.site.listen, number, size, size, piece, false);
+        exchange(proxy.site.listen, 10 + number, size, size, piece.max(10), true);
     }
 }
 
@@ -226,7 +221,7 @@
     };
     let proxy = Proxy::start(&[backend(cuts)]);
     for case in ["length", "chunk", "close"] {
-        let mut link = connect(proxy.listen());
+        let mut link = connect(proxy.site.listen);
         let text = request("GET", 0, &format!("X-Case: {case}\r\n"));
         link.get_mut().write_all(text.as_bytes()).expect("read");
         let head = head(&mut link).expect("an answer that has begun");
@@ -256,11 +251,11 @@
     // Nobody is there: it never ran, and nothing of a long body was asked for yet.
     let proxy = Proxy::start(&[refuses, good]);
     for number in 0..6 {
-        exchange(proxy.listen(), number, 2 * MB, 10, MB, false);
+        exchange(proxy.site.listen, number, 2 * MB, 10, MB, false);
     }
     // It was let go: refused at once, since without its last byte it never ran, and not sent to anybody else.
     let proxy = Proxy::start(&[closes]);
-    let mut link = connect(proxy.listen());
+    let mut link = connect(proxy.site.listen);
     let text = request("POST", 7, &format!("Content-Length: {}\r\n", 32 * MB));
     let mut writer = link.get_ref().try_clone().expect("cloned");
     let sender = spawn(move || {
@@ -289,7 +284,7 @@
             }
         }
     })]);
-    let mut link = connect(proxy.listen());
+    let mut link = connect(proxy.site.listen);
     let text = request("POST", 1, "Content-Length: 70000\r\nExpect: 100-continue\r\n");
     link.get_mut().write_all(text.as_bytes()).expect("read");
     assert!(head(&mut link).expect("go on").starts_with("HTTP/1.1 100"));
--- a/crates/proxy/tests/leaving.rs
+++ b/crates/proxy/tests/leaving.rs
@@ -18,8 +18,7 @@
 fn serves_for() -> (Duration, Duration) {
     let backend = Backend::new("a");
     let site = Site::new(32, &[("a", backend.addr)]);
-    let mut proxy = site.start();
-    proxy.is_ready();
+    let mut proxy = site.serving();
     let mut caller = Client::new(site.listen);
     caller.call().expect("an answer");
     proxy.program.signal("TERM");
--- a/crates/proxy/tests/site/mod.rs
+++ b/crates/proxy/tests/site/mod.rs
@@ -11,7 +11,7 @@
 /// What all processes of a test share: the clients' address, and the directory that outlives each of them.
 pub struct Site {
     pub listen: SocketAddr,
-    config: PathBuf,
+    pub config: PathBuf,
     dir: PathBuf,
 }
 
@@ -42,6 +42,13 @@
         Process { program: Program::start(&mut program), console }
     }
 
+    /// One more process, ready to serve.
+    pub fn serving(&self) -> Process {
+        let process = self.start();
+        process.is_ready();
+        process
+    }
+
     /// As a build without upgrades: it has no console, and the address for itself.
     pub fn start_alone(&self) -> Program {
         Program::start(&mut olivecart("serve", &self.config))
--- a/crates/proxy/tests/upgrade.rs
+++ b/crates/proxy/tests/upgrade.rs
@@ -42,13 +42,11 @@
 fn upgrades_one_after_another_lose_no_request_and_no_connection() {
     let backend = Backend::new("a");
     let site = Site::new(32, &[("a", backend.addr)]);
-    let mut serving = site.start();
-    serving.is_ready();
+    let mut serving = site.serving();
     let stop = Arc::new(AtomicBool::new(false));
     let clients = crowd(site.listen, &stop);
     for _ in 0..4 {
-        let next = site.start();
-        next.is_ready();
+        let next = site.serving();
         serving.program.signal("TERM");
         assert!(std::mem::replace(&mut serving, next).program.ends().success());
         backend.wait_past(backend.calls() + 20); // served by the next one alone
@@ -62,8 +60,7 @@
 fn what_is_out_by_hand_stays_so_and_calls_to_either_process_bind_both() {
     let [a, b] = ["a", "b"].map(Backend::new);
     let site = Site::new(32, &[("a", a.addr), ("b", b.addr), ("c", b.addr), ("d", b.addr)]);
-    let mut old = site.start();
-    old.is_ready();
+    let mut old = site.serving();
     let by_hand = |p: &Process, what: &str, id: &str| {
         let answer = p.operator(&format!("POST /_backends/{what}"), &format!(r#"{{"target":"{id}"}}"#));
         assert!(answer.starts_with("200"), "{answer}");
@@ -89,8 +86,7 @@
 fn a_process_that_dies_on_either_side_changes_nothing() {
     let a = Backend::new("a");
     let site = Site::new(32, &[("a", a.addr)]);
-    let mut old = site.start();
-    old.is_ready();
+    let mut old = site.serving();
     for ready in [false, true] {
         let mut new = site.start();
         if ready {
@@ -109,8 +105,7 @@
     }
     // Nor does the death of the one before: the next takes over from this one.
     for _ in 0..2 {
-        let new = site.start();
-        new.is_ready();
+        let new = site.serving();
         old.program.signal("KILL");
         old.program.ends();
         new.program.line("ended: Older");
@@ -123,8 +118,7 @@
 fn a_process_that_still_answers_takes_nothing_back_from_the_one_after_the_next() {
     let a = Backend::new("a");
     let site = Site::new(32, &[("a", a.addr)]);
-    let mut first = site.start();
-    first.is_ready();
+    let mut first = site.serving();
     let mut slow = TcpStream::connect(site.listen).expect("let in");
     slow.write_all(
         b"POST / HTTP/1.1\r\nHost: p\r\nX-Request-Id: slow\r\nX-Class: view\r\nContent-Length: 99999\r\n\r\n",
@@ -137,17 +131,14 @@
             slow.write_all(b"more").expect("read still");
         }
     });
-    let mut second = site.start();
-    second.is_ready();
+    let mut second = site.serving();
     first.program.line("accepts: false");
     first.program.signal("TERM");
-    let third = site.start();
-    third.is_ready();
+    let third = site.serving();
     second.program.signal("TERM");
     assert!(second.program.ends().success());
     first.program.line("ended: Newer");
-    let fourth = site.start();
-    fourth.is_ready();
+    let _fourth = site.serving();
     third.program.line("beside: Newer");
     drop(ended);
     writes.join().expect("served to the end");
@@ -197,13 +188,11 @@
     for (n, lay) in cases.iter().enumerate() {
         let site = Site::new(32, &[("a", a.addr)]);
         lay(&site.socket());
-        let process = site.start();
-        process.is_ready();
+        let _process = site.serving();
         asks(&site);
         if n == 2 {
             // No path to hand over at; the address is shared all the same.
-            let next = site.start();
-            next.is_ready();
+            let _next = site.serving();
         }
     }
 }
