--- a/crates/proxy/benches/figures.rs
+++ b/crates/proxy/benches/figures.rs
@@ -2,18 +2,22 @@
 //! event loop. Run on its own, built for release:
 //!
 //! ```text
-//! cargo bench -p olivecart --bench figures            # all, or name some: -- push limits change xds
+//! cargo bench -p olivecart --bench figures            # all, or name some: -- push limits change xds console
 //! ```
 
 #[path = "../tests/fleet/mod.rs"]
 mod fleet;
 #[path = "../tests/scenario/mod.rs"]
 mod scenario;
+#[path = "../tests/site/mod.rs"]
+mod site;
 
 use fleet::{Backend, Client, Load, Proxy};
 use olivecart_lab::control_plane::{HealthStatus, Resources};
-use scenario::SETTINGS;
 use scenario::plane::Plane;
+use scenario::program::Program;
+use scenario::{SETTINGS, free_port};
+use site::Site;
 use std::fmt::Write;
 use std::fs;
 use std::net::SocketAddr;
@@ -229,13 +233,43 @@
     }
 }
 
+/// Instructions that the proxy takes for so many requests one after another, its start and end included.
+fn instructions(site: &Site, console: bool, requests: u64) -> u64 {
+    let mut valgrind = Command::new("valgrind");
+    valgrind.args(["--tool=callgrind", "--callgrind-out-file=/dev/null", env!("CARGO_BIN_EXE_olivecart")]);
+    valgrind.arg("serve").env("EDGE_CONFIG", &site.config);
+    if console {
+        valgrind.env("EDGE_CONSOLE", free_port().to_string());
+    }
+    let mut program = Program::start(&mut valgrind);
+    program.line("listening");
+    let mut client = Client::new(site.listen);
+    (0..requests).for_each(|_| assert_eq!(client.call().map(|(status, _)| status), Some(200)));
+    drop(client);
+    program.signal("TERM");
+    let said = program.line("Collected :");
+    assert!(program.ends().success());
+    said.rsplit(' ').next().and_then(|count| count.parse().ok()).expect("a count")
+}
+
+/// In instructions, since processor time on a shared machine differs by more from run to run. Needs valgrind.
+fn cost_of_the_console() {
+    let backend = Backend::new("a");
+    let site = Site::new(48, &[("a", backend.addr)]);
+    for console in [false, true, false, true] {
+        let [few, many] = [1000, 5000].map(|requests| instructions(&site, console, requests));
+        println!("console {console}: {} instructions a request", (many - few) / 4000);
+    }
+}
+
 fn main() {
     let wanted: Vec<String> = std::env::args().skip(1).filter(|word| !word.starts_with("--")).collect();
-    let all: [(&str, fn()); 4] = [
+    let all: [(&str, fn()); 5] = [
         ("change", from_change_to_last_new_request),
         ("xds", from_push_to_last_new_request),
         ("push", cost_of_a_push_and_longest_hold),
         ("limits", off_and_on_at_the_platforms_limits),
+        ("console", cost_of_the_console),
     ];
     for (name, figures) in all {
         if wanted.is_empty() || wanted.iter().any(|word| word == name) {
