Tell the next process of calls by hand that come while it is let in, or before it lists the id

Seen on reading: a call that takes a backend out binds both processes of an upgrade, but there were two gaps. Between the moment at which the state is put together and the one at which it is written (handover/mod.rs, let_in), Core already tells the newer process and nothing had a place to wait in: links was still empty, tell() dropped the line, and the newer process went on using what was out. And a call that the other process passes on for an id that only its list names so far was dropped (upgrade.rs, apply: `let _`), though the id is listed here a moment later, as ready.

Change: the queue to the newer process is opened before the state is put together; what is out elsewhere and not listed here is noted ahead (overlay.rs, detach_ahead). Not taken: holding back calls while a process is let in, which would owe operators their answer.

Checked: both tests fail with the lines put back (handover: the second line is "later"; clusters: nobody is out).

--- a/crates/proxy/src/clusters.rs
+++ b/crates/proxy/src/clusters.rs
@@ -122,6 +122,15 @@
         if done.iter().any(Result::is_ok) { Ok(()) } else { Err(No::Unknown(target.clone())) }
     }
 
+    /// Does what an operator asked of another process. Danger: a change of the list reaches one process before the
+    /// other; what only that one lists when it is taken out would be used here from when it is listed here.
+    pub fn by_hand_elsewhere(&self, call: &Call) {
+        match (call, self.by_hand(call)) {
+            (Call::Detach(target), Err(_)) => self.drivers().iter().for_each(|d| d.detach_ahead(target)),
+            _ => {} // done, or it is back, and nobody lists it
+        }
+    }
+
     /// What the next process must know.
     pub fn state(&self) -> State {
         let knowledge = self.registry.as_ref().map(|driver| driver.knowledge());
@@ -345,3 +354,38 @@
         None => News::nothing(),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use slog::Discard;
+
+    #[test]
+    fn what_another_process_left_out_before_it_was_listed_here_is_out_once_it_is() {
+        actix_rt::System::new().block_on(async {
+            let settings =
+                r#"{"grades":[{"name":"v","aim-ns":1,"give-up-ns":2,"effect":"repeatable"}],"dcs":["z"]}"#;
+            let clusters = Clusters::start(
+                Start {
+                    site: Rc::new(RefCell::new(Site::read(settings).expect("settings"))),
+                    clock: Clock::start(),
+                    seed: 0,
+                    descriptors: Rc::new(Descriptors::new(1)),
+                    discovery: None,
+                    known: None,
+                    routing: Routing::default(),
+                    budget: Rc::default(),
+                    stats: None,
+                    taken_over: None,
+                },
+                &Logger::root(Discard, o!()),
+            );
+            clusters.by_hand_elsewhere(&Call::Detach("a".into()));
+            let server = |id| format!(r#"{{"id":"{id}","addr":"127.0.0.1:1","state":"ready","zone":"z"}}"#);
+            let list = format!(r#"{{"version":2,"full":true,"servers":[{},{}]}}"#, server("a"), server("b"));
+            let registry = clusters.registry.clone().expect("the platform's own");
+            registry.follow(&known(Some(&list), &clusters.log));
+            assert_eq!(clusters.pool(), Pool { size: 2, ejected: 1 });
+        });
+    }
+}
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -220,6 +220,11 @@
         Ok(())
     }
 
+    /// The same for one that another process lists, and this one not yet.
+    pub fn detach_ahead(&self, name: &str) {
+        self.overlay.borrow_mut().detach_ahead(name);
+    }
+
     /// Puts an endpoint back by hand, and checks it at once.
     ///
     /// # Errors
--- a/crates/proxy/src/handover/mod.rs
+++ b/crates/proxy/src/handover/mod.rs
@@ -160,7 +160,10 @@
         if let Some((link, rest)) = given {
             let opened = link.set_nonblocking(true).and_then(|()| UnixStream::from_std(link));
             match opened {
-                Ok(stream) => handover.link(Side::Older, stream, rest),
+                Ok(stream) => {
+                    let queue = handover.open_queue(Side::Older);
+                    handover.link(Side::Older, stream, rest, queue);
+                }
                 Err(e) => {
                     warn!(handover.log, "the earlier process is not heard of"; "error" => %e);
                     handover.on(Event::Gone(Side::Older));
@@ -250,13 +253,15 @@
         if actions.contains(&Action::TurnAway) {
             return Err(io::Error::other("one is let in already"));
         }
+        // Danger: what is done by hand while the state is on its way is not in it, and has to wait for its end.
+        let queue = self.open_queue(Side::Newer);
         self.perform(actions);
         let given = timeout(SAYS, self.give(&mut stream)).await.unwrap_or_else(|e| Err(e.into()));
         if let Err(e) = given {
-            self.on(Event::Gone(Side::Newer));
+            self.gone(Side::Newer);
             return Err(e);
         }
-        self.link(Side::Newer, stream, Vec::new());
+        self.link(Side::Newer, stream, Vec::new(), queue);
         Ok(())
     }
 
@@ -274,9 +279,19 @@
         stream.write_all(&line[sent..]).await
     }
 
-    fn link(self: &Rc<Self>, side: Side, stream: UnixStream, rest: Vec<u8>) {
+    /// Where lines to a process wait.
+    fn open_queue(&self, side: Side) -> mpsc::Receiver<Message> {
         let (lines, queue) = mpsc::channel(WAITING);
         self.links.borrow_mut()[side as usize] = Some(lines);
+        queue
+    }
+
+    fn gone(self: &Rc<Self>, side: Side) {
+        self.links.borrow_mut()[side as usize] = None;
+        self.on(Event::Gone(side));
+    }
+
+    fn link(self: &Rc<Self>, side: Side, stream: UnixStream, rest: Vec<u8>, queue: mpsc::Receiver<Message>) {
         let (reader, writer) = stream.into_split();
         info!(self.log, "upgrade"; "beside" => ?side);
         let writing = actix_rt::spawn(self.clone().write(writer, queue));
@@ -285,8 +300,7 @@
             let ended = this.read(side, reader, rest).await;
             writing.abort();
             info!(this.log, "upgrade"; "ended" => ?side, "why" => %ended);
-            this.links.borrow_mut()[side as usize] = None;
-            this.on(Event::Gone(side));
+            this.gone(side);
         });
     }
 
@@ -342,3 +356,69 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::cell::Cell;
+
+    /// Has more to say than a socket takes at once.
+    #[derive(Default)]
+    struct Full {
+        asked: Cell<bool>,
+    }
+
+    impl Host for Full {
+        fn listener(&self) -> io::Result<OwnedFd> {
+            Ok(TcpListener::bind(("127.0.0.1", 0))?.into())
+        }
+
+        fn state(&self) -> State {
+            self.asked.set(true);
+            State { list: Some("x".repeat(1 << 20)), ..State::default() }
+        }
+
+        fn accept(&self, _: bool) {}
+        fn share(&self, _: u32) {}
+        fn apply(&self, _: &ByHand) {}
+    }
+
+    #[test]
+    fn what_is_done_by_hand_while_the_state_is_on_its_way_reaches_the_next_process() {
+        actix_rt::System::new().block_on(changed_meanwhile());
+    }
+
+    async fn changed_meanwhile() {
+        let name = format!("olivecart-handover-test-{}.sock", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        let host = Rc::new(Full::default());
+        let log = Logger::root(slog::Discard, slog::o!());
+        let handover = Handover::start(host.clone(), path.clone(), None, log);
+        let mut next = Blocking::connect(&path).expect("answered");
+        let _ = std::fs::remove_file(&path);
+        next.write_all(&Message::Hello { protocol: PROTOCOL }.line()).expect("read");
+        while !host.asked.get() {
+            tokio::task::yield_now().await;
+        }
+        let change = |target: &str| ByHand { target: target.into(), back: false };
+        handover.by_hand(change("meanwhile"));
+        let mut lines = io::BufRead::lines(io::BufReader::new(next));
+        let (mut lines, state) = blocking(move || (lines.next(), lines)).await;
+        assert!(matches!(serde_json::from_str(&state), Ok(Message::State(_))));
+        handover.by_hand(change("later"));
+        for target in ["meanwhile", "later"] {
+            let (rest, line) = blocking(move || (lines.next(), lines)).await;
+            lines = rest;
+            let told = serde_json::from_str(&line);
+            assert!(matches!(told, Ok(Message::Detach(told)) if told == target), "{line}");
+        }
+    }
+
+    /// Reads a line beside the event loop, as a process that starts does.
+    async fn blocking<T: Send + 'static>(
+        read: impl FnOnce() -> (Option<io::Result<String>>, T) + Send + 'static,
+    ) -> (T, String) {
+        let (line, rest) = tokio::task::spawn_blocking(read).await.expect("no panic");
+        (rest, line.expect("a line").expect("no error"))
+    }
+}
--- a/crates/proxy/src/upgrade.rs
+++ b/crates/proxy/src/upgrade.rs
@@ -116,7 +116,7 @@
     fn apply(&self, change: &ByHand) {
         let target = change.target.clone();
         let call = if change.back { Call::Attach(target) } else { Call::Detach(target) };
-        let _ = self.clusters.by_hand(&call); // one that is listed there only, and will be here
+        self.clusters.by_hand_elsewhere(&call);
     }
 }
 
