End before the kill that the settings' longest deadline allows, not always 3.7 s after the signal

Cause: shutdown.rs had ALL_ANSWERED of 3.4 s, from a kill 3.7 s after the signal. Ruled out: requests stuck at the decisions (all are cut at gate.leaving in listen.rs put(), as they should).

Change: Times, from the settings' longest deadline. Where that is 3 s or more all times are as before.

Tests: Times by table; a proxy with deadlines of 1 s says 1,400 ms (fails with Times::default() in cli.rs).

--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -229,6 +229,8 @@
         let budget = Rc::new(Budget::new(bodies));
         let listener = tokio::net::TcpListener::from_std(listener)?;
         info!(log, "listening"; "on" => %listen, "version" => env!("CARGO_PKG_VERSION"));
+        let longest = config.site.settings.classes.iter().map(|class| class.give_up).max();
+        let times = shutdown::Times::new(Duration::from_nanos(longest.unwrap_or(0)));
         let stats = console.is_some().then(|| Arc::new(Stats::new(config.site.classes.names())));
         let (site, clock) = (Rc::new(RefCell::new(config.site)), Clock::start());
         let (routing, catalog) = match operators {
@@ -287,7 +289,7 @@
         actix_rt::spawn(reload::on_signal(hang_up, origin, adopt, log.clone()));
         let front = actix_rt::spawn(listen::serve(listener, gate.clone()));
         let leave = || beside.as_ref().is_some_and(Handover::leave);
-        shutdown::on_signal(gate, leave, log.clone()).await?;
+        shutdown::on_signal(gate, times, leave, log.clone()).await?;
         front.abort();
         info!(log, "stopped"; "long_bodies_peak" => budget.peak(), "of" => bodies);
         Ok::<_, Box<dyn std::error::Error>>(())
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -9,40 +9,84 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
-/// For so long after the signal clients are still served on the connections they have, and on new ones:
-/// others of the group may be away too, and an answer takes less than what is left then.
-const STILL_COMING: Duration = Duration::from_millis(1500);
-/// And then until no request has come for this long...
-const QUIET: Duration = Duration::from_millis(500);
-/// ...but not so late that less is left before the end than this, or than answers usually take.
-const LEAST_LEFT: Duration = Duration::from_millis(500);
-/// What comes after the signal is answered by then: the program is killed 3.7 s after it at the earliest.
-const ALL_ANSWERED: Duration = Duration::from_millis(3400);
+/// The platform kills a program no sooner after the signal than the longest deadline, of which no more than this counts...
+const LONGEST_DEADLINE: Duration = Duration::from_millis(3000);
+/// ...and this.
+const KILLED: Duration = Duration::from_millis(700);
+/// What is left then for the last bytes to reach their clients.
+const MARGIN: Duration = Duration::from_millis(300);
 /// All that was taken is answered at its deadline at the latest; what is left after this is stuck.
 const LONGEST: Duration = Duration::from_secs(30);
-/// Where another process serves in this one's place, clients have so long to move there by calling once more.
-const MOVING: Duration = Duration::from_millis(1000);
 const STEP: Duration = Duration::from_millis(10);
 
+/// The times of a planned end, from the signal on. Danger: taken from the longest time that a program may have, they
+/// reach past the moment at which one with short deadlines is killed, and what it took last is lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Times {
+    /// For so long clients are still served on the connections they have, and on new ones: others of the group may be
+    /// away too, and an answer takes less than what is left then.
+    still_coming: Duration,
+    /// And then until no request has come for this long...
+    quiet: Duration,
+    /// ...but not so late that less is left before the end than this, or than answers usually take.
+    least_left: Duration,
+    /// What comes after the signal is answered by then.
+    all_answered: Duration,
+    /// Where another process serves in this one's place, clients have so long to move there by calling once more.
+    moving: Duration,
+}
+
+impl Times {
+    /// Where no class of requests is waited for longer than this.
+    pub fn new(longest_deadline: Duration) -> Times {
+        let ms = Duration::from_millis;
+        let all_answered = longest_deadline.min(LONGEST_DEADLINE) + KILLED - MARGIN;
+        let least_left = ms(500).min(all_answered / 2);
+        let latest = all_answered - least_left;
+        let (still_coming, moving) = (ms(1500).min(latest), ms(1000).min(latest));
+        Times { still_coming, quiet: ms(500), least_left, all_answered, moving }
+    }
+
+    /// Whether requests are taken so long after the signal, when none has come for `quiet` and nearly all answers take
+    /// `latency` at most. Danger: ended while others of the group are away, clients find nobody; ended too late, what
+    /// came last is cut off.
+    fn takes_more(&self, after: Duration, quiet: Duration, latency: Option<Duration>) -> bool {
+        let least = latency.unwrap_or(self.all_answered - self.still_coming).max(self.least_left);
+        after < self.still_coming || quiet < self.quiet && after < self.all_answered.saturating_sub(least)
+    }
+}
+
+impl Default for Times {
+    /// The longest that a program may have.
+    fn default() -> Times {
+        Times::new(LONGEST_DEADLINE)
+    }
+}
+
 /// Waits for SIGTERM or an interrupt, and then until nothing is left to answer. `leave` hears of the signal, and says
 /// whether another process serves in this one's place.
-pub async fn on_signal(gate: Rc<Gate>, leave: impl FnOnce() -> bool, log: Logger) -> io::Result<()> {
+pub async fn on_signal(
+    gate: Rc<Gate>,
+    times: Times,
+    leave: impl FnOnce() -> bool,
+    log: Logger,
+) -> io::Result<()> {
     asked(&Notify::new()).await?;
     if leave() {
-        hand_over(gate, &log).await
+        hand_over(gate, times, &log).await
     } else {
-        drain(&[gate], &log).await
+        drain(&[gate], times, &log).await
     }
     Ok(())
 }
 
 /// Another process accepts what comes. Clients that call meanwhile are told to go there; the others' connections are
 /// closed then, each after a last look.
-async fn hand_over(gate: Rc<Gate>, log: &Logger) {
+async fn hand_over(gate: Rc<Gate>, times: Times, log: &Logger) {
     let began = Instant::now();
     info!(log, "leaving to another process"; "connections" => gate.connections());
-    gate.leave(began + ALL_ANSWERED);
-    while gate.connections() > 0 && began.elapsed() < MOVING {
+    gate.leave(began + times.all_answered);
+    while gate.connections() > 0 && began.elapsed() < times.moving {
         sleep(STEP).await;
     }
     gate.retire();
@@ -64,16 +108,17 @@
 }
 
 /// Takes what still comes, answers all that was taken, and closes.
-pub async fn drain(gates: &[Rc<Gate>], log: &Logger) {
+pub async fn drain(gates: &[Rc<Gate>], times: Times, log: &Logger) {
     let began = Instant::now();
-    info!(log, "leaving"; "connections" => connections(gates));
+    info!(log, "leaving"; "connections" => connections(gates),
+        "all_answered_ms" => times.all_answered.as_millis() as u64);
     for gate in gates {
-        gate.leave(began + ALL_ANSWERED);
+        gate.leave(began + times.all_answered);
         gate.hold_idle();
     }
     let latency = || gates.iter().filter_map(|gate| gate.latency()).max();
-    let quiet = || gates.iter().map(|gate| gate.last_taken().elapsed()).min().unwrap_or(QUIET);
-    while takes_more(began.elapsed(), quiet(), latency()) {
+    let quiet = || gates.iter().map(|gate| gate.last_taken().elapsed()).min().unwrap_or(times.quiet);
+    while times.takes_more(began.elapsed(), quiet(), latency()) {
         sleep(STEP).await;
     }
     // The listener stays open: a late connection is answered and closed rather than reset.
@@ -81,14 +126,6 @@
     info!(log, "left"; "after_ms" => began.elapsed().as_millis() as u64);
 }
 
-/// Whether requests are taken so long after the signal, when none has come for `quiet` and nearly all answers take
-/// `latency` at most. Danger: ended while others of the group are away, clients find nobody; ended too late, what came
-/// last is cut off.
-fn takes_more(after: Duration, quiet: Duration, latency: Option<Duration>) -> bool {
-    let least = latency.unwrap_or(ALL_ANSWERED - STILL_COMING).max(LEAST_LEFT);
-    after < STILL_COMING || quiet < QUIET && after < ALL_ANSWERED.saturating_sub(least)
-}
-
 /// Closes idle connections, and waits until none is left.
 pub async fn end(gates: &[Rc<Gate>], log: &Logger) {
     let began = Instant::now();
@@ -114,7 +151,7 @@
 
     #[test]
     fn requests_are_taken_while_they_come_and_can_be_answered() {
-        let ms = Duration::from_millis;
+        let (ms, times) = (Duration::from_millis, Times::default());
         for (after, quiet, latency, takes) in [
             (1499, 9000, Some(5000), true), // always so long
             (1500, 0, Some(5000), false),
@@ -126,7 +163,17 @@
             (1600, 0, None, false),    // nothing is known
         ] {
             let latency = latency.map(ms);
-            assert_eq!(takes_more(ms(after), ms(quiet), latency), takes, "{after} {quiet} {latency:?}");
+            assert_eq!(times.takes_more(ms(after), ms(quiet), latency), takes, "{after} {quiet} {latency:?}");
+        }
+    }
+    #[test]
+    fn with_short_deadlines_the_end_comes_as_early_as_the_kill_may() {
+        let ms = Duration::from_millis;
+        for (deadline, killed) in [(6000, 3700), (3000, 3700), (1000, 1700), (200, 900), (0, 700)] {
+            let times = Times::new(ms(deadline));
+            assert_eq!(times.all_answered + MARGIN, ms(killed));
+            assert!(!times.takes_more(times.all_answered - times.least_left, ms(0), Some(ms(1))));
+            assert!(times.takes_more(ms(0), ms(9000), None) && times.moving < times.all_answered);
         }
     }
 }
--- a/crates/proxy/src/sidecar/mod.rs
+++ b/crates/proxy/src/sidecar/mod.rs
@@ -219,7 +219,7 @@
     sidecar.leaving.set(true);
     // The application still calls others for what it has taken: outbound outlives inbound.
     if let Some(gate) = before {
-        shutdown::drain(&[gate], &log).await;
+        shutdown::drain(&[gate], shutdown::Times::default(), &log).await;
     }
     info!(log, "inbound has ended");
     shutdown::end(&gates, &log).await;
--- a/crates/proxy/tests/leaving.rs
+++ b/crates/proxy/tests/leaving.rs
@@ -42,3 +42,15 @@
     let (served, _) = plays.find(|(_, pause)| *pause < PAUSE).expect("one play without a long pause");
     assert!(served > LONGER, "for {served:?}");
 }
+
+#[test]
+fn where_clients_wait_for_a_second_all_is_answered_before_the_kill_that_follows_it() {
+    let backend = Backend::new("a");
+    for (deadline_ms, answered_ms) in [(1000, 1400), (500_000, 3400)] {
+        let site = Site::with_deadline(deadline_ms, 32, &[("a", backend.addr)]);
+        let mut proxy = site.serving();
+        proxy.program.signal("TERM");
+        proxy.program.line(&format!("all_answered_ms: {answered_ms}"));
+        assert!(proxy.program.ends().success());
+    }
+}
