Go on with a long answer when the second copy of its request is called off

Followed in the log (request 71): attempts 0 and 1 out; the answer of 0 begins, the decisions call off 1 as they should; the end of 1 is booked with `over`, and the decisions, told that the request has ended, call off what is left of it: 0, whose answer goes on.

Cause: book.rs attempt_ended said `over` as soon as a verdict was given, which for a long answer is at its beginning (begin_answer). Without second copies there is no other attempt whose end could be booked then. Ruled out: memory (13 of 48 MB), stillness (cut 0.4 s after the beginning), upstream ends ('the backend's answer broke off' in the log is ours, after the cancel).

Change: an account knows which attempt's answer goes on, and the request has ended with that one. Found beside it, by reading: two copies of a long request body that both were past its beginning would each have taken parts of the rest (upload.rs, poll_next); now the one that asks first has them, the other ends.

--- a/crates/proxy/src/bodies/upload.rs
+++ b/crates/proxy/src/bodies/upload.rs
@@ -37,7 +37,10 @@
     source: RefCell<Source>,
     /// Bytes that came so far.
     came: Cell<u64>,
-    let_go: Cell<bool>,
+    /// Which of its bodies has what is not held any more.
+    let_go: Cell<Option<u32>>,
+    /// How many bodies there were.
+    bodies: Cell<u32>,
     /// When its last byte came.
     ended: Cell<Option<Instant>>,
     changed: Notify,
@@ -51,6 +54,7 @@
 /// The body of one attempt.
 pub struct UploadBody {
     upload: Rc<Upload>,
+    number: u32,
     sent: usize,
     /// Called when the last byte has gone.
     written: Option<Box<dyn FnOnce()>>,
@@ -71,7 +75,8 @@
             held: RefCell::new(held),
             source: RefCell::new(Box::pin(source)),
             came,
-            let_go: Cell::new(false),
+            let_go: Cell::default(),
+            bodies: Cell::default(),
             ended: Cell::new(None),
             changed: Notify::new(),
             moved: Cell::new(Instant::now()),
@@ -82,17 +87,18 @@
 
     /// The body for one attempt, from its beginning. `written` is called with its last byte.
     pub fn body(self: &Rc<Self>, written: impl FnOnce() + 'static) -> UploadBody {
-        UploadBody { upload: self.clone(), sent: 0, written: Some(Box::new(written)) }
+        let number = self.bodies.replace(self.bodies.get() + 1);
+        UploadBody { upload: self.clone(), number, sent: 0, written: Some(Box::new(written)) }
     }
 
     /// Whether some of it is not held any more, so that no other attempt can have it.
     pub fn is_let_go(&self) -> bool {
-        self.let_go.get()
+        self.let_go.get().is_some()
     }
 
     /// Resolves when some of it is not held any more.
     pub async fn lets_go(&self) {
-        while !self.let_go.get() {
+        while !self.is_let_go() {
             self.changed.notified().await;
         }
     }
@@ -131,10 +137,10 @@
         }
     }
 
-    fn poll_source(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, UploadError>>> {
+    fn poll_source(&self, cx: &mut Context<'_>, number: u32) -> Poll<Option<Result<Bytes, UploadError>>> {
         let part = ready!(self.source.borrow_mut().poll_next_unpin(cx));
         self.moved.set(Instant::now());
-        if !self.let_go.replace(true) {
+        if self.let_go.replace(Some(number)).is_none() {
             self.held.take();
             self.changed.notify_waiters();
         }
@@ -161,7 +167,8 @@
     }
 
     fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, UploadError>>> {
-        if self.sent == 0 && self.upload.let_go.get() {
+        // Danger: where two copies may be out, both would go on with parts of the rest.
+        if self.upload.let_go.get().is_some_and(|number| number != self.number) {
             return Poll::Ready(Some(Err(UploadError::LetGo)));
         }
         let held = self.upload.held.borrow().get(self.sent).cloned();
@@ -170,8 +177,7 @@
             self.upload.moved.set(Instant::now());
             return Poll::Ready(Some(Ok(part)));
         }
-        self.sent = self.sent.max(1);
-        let part = ready!(self.upload.poll_source(cx));
+        let part = ready!(self.upload.poll_source(cx, self.number));
         if part.is_none() {
             self.written.take().into_iter().for_each(|written| written());
         }
@@ -214,6 +220,8 @@
         assert!(!upload.is_let_go() && upload.lets_go().now_or_never().is_none());
         assert_eq!([0; 5].map(|_| next(&mut second)), ["a", "b", "c", "d", "end"]);
         assert!(upload.is_let_go() && upload.ends().now_or_never().is_some());
-        assert_eq!(next(&mut upload.body(|| ())), "the client's body is not held any more");
+        for late in [&mut first, &mut upload.body(|| ())] {
+            assert_eq!(next(late), "the client's body is not held any more");
+        }
     }
 }
--- a/crates/proxy/src/stages/send.rs
+++ b/crates/proxy/src/stages/send.rs
@@ -95,10 +95,12 @@
     let took = starts.elapsed();
     let end = match end {
         End { rest: Some(rest), answer, load, .. } => {
-            begun(&context, &attempt);
-            let went = context.book.begin_answer(attempt.request, answer);
-            let outcome =
-                if went { pass_on(&context, *rest, &mut attempt).await } else { Outcome::Cancelled };
+            let outcome = if context.book.begin_answer(attempt.request, attempt.number, answer) {
+                begun(&context, &attempt);
+                pass_on(&context, *rest, &mut attempt).await
+            } else {
+                Outcome::Cancelled
+            };
             End { load, ..outcome.into() }
         }
         end => end,
@@ -141,7 +143,7 @@
 }
 
 fn book(context: &Context, attempt: &Attempt, endpoint: EndpointId, took: Duration, end: End) {
-    let over = context.book.attempt_ended(attempt.request, end.answer);
+    let over = context.book.attempt_ended(attempt.request, attempt.number, end.answer);
     context.tell(Event::Outcome(AttemptEnd {
         request: attempt.request,
         attempt: attempt.number,
@@ -155,7 +157,7 @@
 
 /// Books the end of an attempt that never started.
 pub fn ended(context: &Context, request: RequestId, number: u32, endpoint: EndpointId, outcome: Outcome) {
-    let over = context.book.attempt_ended(request, None);
+    let over = context.book.attempt_ended(request, number, None);
     let end = AttemptEnd { request, attempt: number, endpoint, outcome, took: 0, over, load: None };
     context.tell(Event::Outcome(end));
 }
--- a/crates/proxy/tests/bodies.rs
+++ b/crates/proxy/tests/bodies.rs
@@ -2,7 +2,7 @@
 
 mod scenario;
 mod site;
-use scenario::{NEVER, free_port, serve};
+use scenario::{NEVER, SETTINGS, free_port, serve};
 use site::{Process, Site};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
@@ -94,9 +94,14 @@
 
 impl Proxy {
     fn start(backends: &[SocketAddr]) -> Proxy {
+        // Deadlines that no machine misses.
+        Proxy::with(&SETTINGS.replace("50000000000", "500000000000"), backends)
+    }
+
+    fn with(settings: &str, backends: &[SocketAddr]) -> Proxy {
         let ids: Vec<String> = (0..backends.len()).map(|n| n.to_string()).collect();
         let backends: Vec<_> = ids.iter().map(String::as_str).zip(backends.iter().copied()).collect();
-        let site = Site::new(MEMORY_MB, &backends);
+        let site = Site::with(settings, MEMORY_MB, &backends);
         let process = site.serving();
         Proxy { site, process }
     }
@@ -300,3 +305,41 @@
         assert_eq!(compares(&mut link, &answer, 1).expect("whole"), 100_000);
     }
 }
+
+#[test]
+fn an_answer_that_goes_on_is_not_called_off_with_the_second_copy_of_its_request() {
+    // The first backend that is called begins its answer once the second copy is there, and ends it once that is called off.
+    let (copy_came, came) = channel();
+    let (copy_went, went) = channel();
+    let first = std::sync::Mutex::new(Some((came, went)));
+    let copies = std::sync::Mutex::new((copy_came, copy_went));
+    let answer = std::sync::Arc::new(move |reader: &mut BufReader<TcpStream>, _: &str| {
+        let Some((came, went)) = first.lock().expect("no panic").take() else {
+            let (copy_came, copy_went) = copies.lock().expect("no panic").clone();
+            let _ = copy_came.send(());
+            let _ = reader.read(&mut [0]); // until it is closed
+            let _ = copy_went.send(());
+            return;
+        };
+        came.recv().expect("a second copy");
+        let head = "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n";
+        let stream = reader.get_mut();
+        stream.write_all(&[head.as_bytes(), &bytes(0, 0, 100_000)].concat()).expect("read");
+        went.recv().expect("called off");
+        let _ = stream.write_all(&bytes(0, 100_000, 100_000));
+    });
+    let backends = [(); 2].map(|()| {
+        let answer = answer.clone();
+        backend(move |reader, head| answer(reader, head))
+    });
+    let settings = SETTINGS
+        .replace("50000000000", "500000000000")
+        .replace(r#""second-copies":false"#, r#""second-copies":true"#)
+        .replace("20000000000", "40000000")
+        .replace(r#""connect-timeout-ns":2000000000"#, r#""connect-timeout-ns":300000000"#);
+    let proxy = Proxy::with(&settings, &backends);
+    let mut link = connect(proxy.site.listen);
+    link.get_mut().write_all(request("GET", 0, "").as_bytes()).expect("read");
+    let head = head(&mut link).expect("an answer");
+    assert_eq!(compares(&mut link, &head, 0).expect("the whole of it"), 200_000);
+}
--- a/crates/proxy/tests/leaving.rs
+++ b/crates/proxy/tests/leaving.rs
@@ -47,7 +47,8 @@
 fn where_clients_wait_for_a_second_all_is_answered_before_the_kill_that_follows_it() {
     let backend = Backend::new("a");
     for (deadline_ms, answered_ms) in [(1000, 1400), (500_000, 3400)] {
-        let site = Site::with_deadline(deadline_ms, 32, &[("a", backend.addr)]);
+        let settings = scenario::SETTINGS.replace("50000000000", &format!("{deadline_ms}000000"));
+        let site = Site::with(&settings, 32, &[("a", backend.addr)]);
         let mut proxy = site.serving();
         proxy.program.signal("TERM");
         proxy.program.line(&format!("all_answered_ms: {answered_ms}"));
--- a/crates/proxy/tests/site/mod.rs
+++ b/crates/proxy/tests/site/mod.rs
@@ -19,17 +19,16 @@
     /// With 256 descriptors, so much memory, and these backends in the known list.
     pub fn new(memory_mb: usize, backends: &[(&str, SocketAddr)]) -> Site {
         // A deadline that no machine misses with what these tests send.
-        Site::with_deadline(500_000, memory_mb, backends)
+        Site::with(&SETTINGS.replace("50000000000", "500000000000"), memory_mb, backends)
     }
 
-    /// The same, with clients that wait for no more milliseconds than this.
-    pub fn with_deadline(ms: u64, memory_mb: usize, backends: &[(&str, SocketAddr)]) -> Site {
+    /// The same with settings of its own.
+    pub fn with(settings: &str, memory_mb: usize, backends: &[(&str, SocketAddr)]) -> Site {
         let (listen, discovery) = (free_port(), free_port());
         let server = |(id, addr): &(&str, SocketAddr)| {
             format!(r#"{{"id":"{id}","addr":"{addr}","state":"ready","zone":"z","cell":1}}"#)
         };
         let servers: Vec<String> = backends.iter().map(server).collect();
-        let settings = SETTINGS.replace("50000000000", &format!("{ms}000000"));
         let config = config_file(&format!(
             r#"{{"listen":"{listen}","discovery":"{discovery}","limits":{{"sockets":256,"memory_mb":{memory_mb}}},
             "known":{{"version":1,"full":true,"servers":[{}]}},"settings":{settings}}}"#,
