--- a/crates/proxy/src/clusters.rs
+++ b/crates/proxy/src/clusters.rs
@@ -125,9 +125,8 @@
     /// Does what an operator asked of another process. Danger: a change of the list reaches one process before the
     /// other; what only that one lists when it is taken out would be used here from when it is listed here.
     pub fn by_hand_elsewhere(&self, call: &Call) {
-        match (call, self.by_hand(call)) {
-            (Call::Detach(target), Err(_)) => self.drivers().iter().for_each(|d| d.detach_ahead(target)),
-            _ => {} // done, or it is back, and nobody lists it
+        if let (Call::Detach(target), Err(_)) = (call, self.by_hand(call)) {
+            self.drivers().iter().for_each(|driver| driver.detach_ahead(target));
         }
     }
 
