Give a long answer's place at the endpoint back when it begins

Cause: send.rs attempt(): the attempt's outcome was told at the last byte of a long answer (Begun before it), so that its place in the decisions' room was taken for as long as a client reads, 1.5 s on average, though the endpoint had long done its work.

Change: with the beginning of a long answer the attempt is booked as served, with the time it took until then; the rest goes on without the decisions. Lost with it is blame for a backend that breaks off midway; it is checked at once instead. Not taken: a word of its own in the module that frees the place, beside Begun, which a long request must not do.

Test: twelve that read no more than the head of 32 MB, and one more request; it fails without the change after 5 s.

--- a/crates/proxy/src/stages/send.rs
+++ b/crates/proxy/src/stages/send.rs
@@ -95,19 +95,27 @@
     let took = starts.elapsed();
     let end = match end {
         End { rest: Some(rest), answer, load, .. } => {
-            let outcome = if context.book.begin_answer(attempt.request, attempt.number, answer) {
-                begun(&context, &attempt);
-                pass_on(&context, *rest, &mut attempt).await
-            } else {
-                Outcome::Cancelled
-            };
-            End { load, ..outcome.into() }
+            if context.book.begin_answer(attempt.request, attempt.number, answer) {
+                // The endpoint's work is done. Danger: held until its reader is through, its place keeps others waiting.
+                book(&context, &attempt, endpoint, took, End { load, ..Outcome::Ok.into() });
+                return go_on(context, *rest, &attempt.payload.method, endpoint).await;
+            }
+            Outcome::Cancelled.into()
         }
         end => end,
     };
     book(&context, &attempt, endpoint, took, end);
 }
 
+/// Passes on the rest of an answer. Where the endpoint breaks it off, which the decisions can't be told of an attempt that
+/// has ended for them, it is checked at once.
+async fn go_on(context: Rc<Context>, rest: Rest, method: &Method, endpoint: EndpointId) {
+    match pass_on(&context, rest, method).await {
+        Outcome::Ok | Outcome::Cancelled => {}
+        _ => probe(context, endpoint).await,
+    }
+}
+
 /// What of a request's body is not held any more can't be sent again: the decisions are not asked what to do, and the
 /// client is told at once. Without its last byte it never ran.
 fn give_up(context: &Context, attempt: &Attempt, end: &End, upload: &Upload) {
@@ -302,9 +310,9 @@
 }
 
 /// Passes on the rest of an answer, at the pace of its reader.
-async fn pass_on(context: &Context, rest: Rest, attempt: &mut Attempt) -> Outcome {
+async fn pass_on(context: &Context, rest: Rest, method: &Method) -> Outcome {
     let Rest { feed, lease, mut response, closes, mut came } = rest;
-    let (seen, method) = (lease.seen.clone(), attempt.payload.method.clone());
+    let seen = lease.seen.clone();
     let passes = async {
         loop {
             let part = match timeout(STILL, response.next()).await {
@@ -322,7 +330,7 @@
                 Ok(false) | Err(_) => return Outcome::Cancelled, // its reader left, or stands still
             }
         }
-        if let Err(outcome) = is_whole(&seen, &method, &response, came) {
+        if let Err(outcome) = is_whole(&seen, method, &response, came) {
             return outcome;
         }
         feed.end().await;
@@ -333,7 +341,6 @@
     };
     tokio::select! {
         biased;
-        _ = &mut attempt.cancelled => Outcome::Cancelled,
         outcome = passes => outcome,
         () = feed.unread() => Outcome::Cancelled, // its reader left while the backend was silent
     }
--- a/crates/proxy/tests/bodies.rs
+++ b/crates/proxy/tests/bodies.rs
@@ -343,3 +343,19 @@
     let head = head(&mut link).expect("an answer");
     assert_eq!(compares(&mut link, &head, 0).expect("the whole of it"), 200_000);
 }
+
+#[test]
+fn who_reads_a_long_answer_slowly_takes_no_place_at_the_endpoint() {
+    let proxy = Proxy::start(&[backend(mirror(MB, false))]);
+    // More than the six places that an endpoint has here; each reads the head, and then nothing.
+    let readers = (0..12).map(|number| {
+        let mut link = connect(proxy.site.listen);
+        let text = request("GET", number, &format!("X-Size: {}\r\n", 32 * MB));
+        link.get_mut().write_all(text.as_bytes()).expect("read");
+        assert!(head(&mut link).expect("an answer that has begun").starts_with("HTTP/1.1 200"));
+        link
+    });
+    let readers: Vec<_> = readers.collect();
+    exchange(proxy.site.listen, 99, 10, 10, 10, false);
+    drop(readers);
+}
