--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -166,6 +166,7 @@
             assert_eq!(times.takes_more(ms(after), ms(quiet), latency), takes, "{after} {quiet} {latency:?}");
         }
     }
+
     #[test]
     fn with_short_deadlines_the_end_comes_as_early_as_the_kill_may() {
         let ms = Duration::from_millis;
--- a/crates/proxy/src/stages/send.rs
+++ b/crates/proxy/src/stages/send.rs
@@ -63,7 +63,7 @@
         Body::Whole { .. } => None,
     };
     let (mut lets_go, mut starts) = (upload.is_some(), began);
-    let end = {
+    let mut end = {
         let exchange = exchange(&context, endpoint, lease, &attempt.payload, attempt.until);
         let expires = expires(upload.as_deref(), attempt.until);
         tokio::pin!(exchange, expires);
@@ -93,26 +93,15 @@
         }
     }
     let took = starts.elapsed();
-    let end = match end {
-        End { rest: Some(rest), answer, load, .. } => {
-            if context.book.begin_answer(attempt.request, attempt.number, answer) {
-                // The endpoint's work is done. Danger: held until its reader is through, its place keeps others waiting.
-                book(&context, &attempt, endpoint, took, End { load, ..Outcome::Ok.into() });
-                return go_on(context, *rest, &attempt.payload.method, endpoint).await;
-            }
-            Outcome::Cancelled.into()
-        }
-        end => end,
-    };
+    // An answer that goes on has served its request. Danger: booked at its last byte, it keeps its place at the endpoint while
+    // somebody reads it, and ends with a second copy of its request that is called off.
+    let rest = end.rest.take();
     book(&context, &attempt, endpoint, took, end);
-}
-
-/// Passes on the rest of an answer. Where the endpoint breaks it off, which the decisions can't be told of an attempt that
-/// has ended for them, it is checked at once.
-async fn go_on(context: Rc<Context>, rest: Rest, method: &Method, endpoint: EndpointId) {
-    match pass_on(&context, rest, method).await {
-        Outcome::Ok | Outcome::Cancelled => {}
-        _ => probe(context, endpoint).await,
+    let Some(rest) = rest else { return };
+    let outcome = pass_on(&context, *rest, &attempt.payload.method).await;
+    // Danger: an endpoint that dies meanwhile has counted as well just now.
+    if !matches!(outcome, Outcome::Ok | Outcome::Cancelled) {
+        probe(context, endpoint).await;
     }
 }
 
@@ -151,7 +140,7 @@
 }
 
 fn book(context: &Context, attempt: &Attempt, endpoint: EndpointId, took: Duration, end: End) {
-    let over = context.book.attempt_ended(attempt.request, attempt.number, end.answer);
+    let over = context.book.attempt_ended(attempt.request, end.answer);
     context.tell(Event::Outcome(AttemptEnd {
         request: attempt.request,
         attempt: attempt.number,
@@ -165,7 +154,7 @@
 
 /// Books the end of an attempt that never started.
 pub fn ended(context: &Context, request: RequestId, number: u32, endpoint: EndpointId, outcome: Outcome) {
-    let over = context.book.attempt_ended(request, number, None);
+    let over = context.book.attempt_ended(request, None);
     let end = AttemptEnd { request, attempt: number, endpoint, outcome, took: 0, over, load: None };
     context.tell(Event::Outcome(end));
 }
