Ask one write gate just before an attempt's first byte is written

Cause: what may be done was asked at the decision alone (decisions/logic.rs permit() and dispatch()); then stages/send.rs attempt() connected and wrote in one call, with nothing in between but the deadline. The same gap let a request go to an endpoint that had begun to drain, or was another process, while its connection came up.

Now stages/gate.rs looks once, at the first byte, on new and kept connections alike (wire.rs poll_write -> answer.rs writes()): the request is open, the endpoint is the process that was chosen and takes requests (backends.rs still_takes), the deadline and the window are not over. The decisions say until when with Action::Send's start_by. What does not pass ends as never sent (Moot) and is decided anew. An attempt that was called off or ran out of time before its first byte counts as never run, also on a kept connection that had to be replaced: before, a request that must not run twice was given up for it.

Checked: the library sends nothing again by itself, and a connection that it opens in the place of a kept one passes the same gate (comes_up keeps it). tests/gate.rs forces both sides on sockets: a listener with a full queue lets connections come up only after the test has seen the other event in the log.

--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -286,7 +286,7 @@
         Ok::<_, String>(name.clone())
     };
     Ok(match action {
-        Action::Send { request, endpoint, cap } => {
+        Action::Send { request, endpoint, cap, .. } => {
             if let Some(open) = inst.open.get_mut(&request.0) {
                 open.out += 1;
             }
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -468,6 +468,9 @@
         endpoint: EndpointId,
         /// Time-out of the attempt; 0: until the client gives up.
         cap: Nanos,
+        /// Its first byte may be written until then. Danger: a connection that comes up late carries a repeat out
+        /// of the window in which it is known as one.
+        start_by: Nanos,
     },
     /// Stop waiting for an attempt.
     Cancel {
--- a/crates/decisions/src/logic.rs
+++ b/crates/decisions/src/logic.rs
@@ -432,13 +432,13 @@
         let target = if possible { self.walk(&request, &permit) } else { None };
         if let Some(slot) = target {
             let overdue = self.overdue(&request, request.tries.len());
-            let e = &mut self.endpoints[slot];
+            let (e, start_by) = (&mut self.endpoints[slot], permit.until.min(request.deadline));
             e.in_flight += 1;
             e.peak = e.peak.max(e.in_flight);
             e.opened = e.opened.max(e.peak);
             e.budget -= request.work;
             e.trial_at = now + overdue;
-            out.push(Action::Send { request: id, endpoint: e.entry.id, cap: 0 });
+            out.push(Action::Send { request: id, endpoint: e.entry.id, cap: 0, start_by });
             request.tries.push(Try { slot, sent: now, done: None });
             self.held.remove(&id);
             self.sent_work.add(now, self.settings.rules.must_ask_in as f64, request.work);
--- a/crates/decisions/tests/invariants.rs
+++ b/crates/decisions/tests/invariants.rs
@@ -74,7 +74,7 @@
 
     fn act(&mut self, action: &Action) -> Result<(), TestCaseError> {
         match action {
-            Action::Send { request, endpoint, cap } => {
+            Action::Send { request, endpoint, cap, .. } => {
                 let entry = &self.entries[endpoint.0 as usize];
                 prop_assert_eq!(entry.state, State::Ready, "sent to an endpoint that does not take requests");
                 let account = self.accounts.get_mut(request).expect("known");
--- a/crates/lab/src/model/proxy.rs
+++ b/crates/lab/src/model/proxy.rs
@@ -424,7 +424,7 @@
 
     fn perform(&mut self, ctx: &mut Ctx, action: Action) {
         match action {
-            Action::Send { request, endpoint, cap } => self.send(ctx, request.0, endpoint.0, cap),
+            Action::Send { request, endpoint, cap, .. } => self.send(ctx, request.0, endpoint.0, cap),
             Action::Cancel { request, attempt } => {
                 self.monitor.note(ctx.now, Note::Cancelled(request.0, attempt));
                 self.give_up(ctx, request.0, attempt, Outcome::Cancelled);
--- a/crates/lab/src/policy/broken.rs
+++ b/crates/lab/src/policy/broken.rs
@@ -256,7 +256,7 @@
     }
 
     fn attempt(&mut self, id: RequestId, endpoint: EndpointId, cap: Nanos, out: &mut Vec<Action>) -> u32 {
-        out.push(Action::Send { request: id, endpoint, cap });
+        out.push(Action::Send { request: id, endpoint, cap, start_by: Nanos::MAX });
         let Some(track) = self.tracks.get_mut(&id) else { return 0 };
         (track.made, track.out) = (track.made + 1, track.out + 1);
         track.made - 1
--- a/crates/lab/src/policy/chassis.rs
+++ b/crates/lab/src/policy/chassis.rs
@@ -133,7 +133,7 @@
         self.pool.sent(endpoint);
         self.pick.sent(&self.pool, endpoint, &ask);
         self.open.insert(id, open);
-        out.push(Action::Send { request: id, endpoint, cap: 0 });
+        out.push(Action::Send { request: id, endpoint, cap: 0, start_by: Nanos::MAX });
     }
 
     fn attempt_ended(&mut self, end: AttemptEnd, out: &mut Vec<Action>) {
--- a/crates/lab/src/sidecars/sidecar.rs
+++ b/crates/lab/src/sidecars/sidecar.rs
@@ -307,7 +307,7 @@
         balancer.handle(now, event, &mut actions);
         for action in actions {
             match action {
-                Action::Send { request, endpoint, cap } => {
+                Action::Send { request, endpoint, cap, .. } => {
                     let Some(open) = self.open.get_mut(&request.0) else { continue };
                     let attempt = open.attempts;
                     open.attempts += 1;
--- a/crates/lab/tests/policies/checker.rs
+++ b/crates/lab/tests/policies/checker.rs
@@ -166,7 +166,7 @@
 
     fn act(&mut self, action: &Action) {
         match action {
-            Action::Send { request, endpoint, cap } => self.send(*request, *endpoint, *cap),
+            Action::Send { request, endpoint, cap, .. } => self.send(*request, *endpoint, *cap),
             Action::Shed { request, .. } | Action::Fail(request) => {
                 let Some(account) = self.accounts.get_mut(request) else {
                     return self.breach(Rule::Limits, "answered a request that it was not given");
--- a/crates/proxy/src/answer.rs
+++ b/crates/proxy/src/answer.rs
@@ -34,6 +34,9 @@
 /// Bytes read at a time.
 const READ: usize = 8 * 1024;
 
+/// Says whether the first byte of a request may be written.
+pub type Gate = Box<dyn Fn() -> io::Result<()>>;
+
 /// What is known of a connection to a backend, or to discovery.
 pub struct Seen {
     /// It came up, now or for an earlier request: bytes of this one may have been written.
@@ -48,6 +51,12 @@
     pub replaced: Cell<bool>,
     /// Where it counts that a request was written, once it was.
     pub tries: RefCell<Option<Arc<Stats>>>,
+    /// Something of this request was written: it may run.
+    written: Cell<bool>,
+    /// This request was not let through to the connection: it never runs.
+    withheld: Cell<bool>,
+    /// Asked once, before the first byte of this request.
+    gate: RefCell<Option<Gate>>,
     /// Largest body.
     limit: usize,
     /// More came than belongs to the answer.
@@ -96,6 +105,9 @@
             bodiless: flag(),
             replaced: flag(),
             tries: RefCell::default(),
+            written: flag(),
+            withheld: flag(),
+            gate: RefCell::default(),
             limit,
             excess: flag(),
             begun: Cell::new(None),
@@ -104,6 +116,22 @@
         }
     }
 
+    /// A request follows; its first byte asks the gate.
+    pub fn begin(&self, gate: Option<Gate>) {
+        [&self.written, &self.withheld].iter().for_each(|flag| flag.set(false));
+        self.gate.replace(gate);
+    }
+
+    /// Whether something of the request was written.
+    pub fn written(&self) -> bool {
+        self.written.get()
+    }
+
+    /// Whether the request was not let through.
+    pub fn withheld(&self) -> bool {
+        self.withheld.get()
+    }
+
     /// A connection has just come up.
     pub fn comes_up(&self) {
         // A second time: the one kept for this request had been ended.
@@ -283,7 +311,14 @@
         Poll::Ready(Ok(()))
     }
 
-    fn writes(&self) {
+    fn writes(&self) -> io::Result<()> {
+        if let Some(gate) = self.gate.take()
+            && let Err(closed) = gate()
+        {
+            self.withheld.set(true);
+            return Err(closed);
+        }
+        self.written.set(true);
         let mut reading = self.reading.borrow_mut();
         if matches!(reading.phase, Phase::Nothing) && !self.excess.get() {
             (reading.phase, reading.length) = (Phase::Head, 0);
@@ -291,5 +326,6 @@
         }
         // A request that is not streamed goes out in one write, but for a few.
         self.tries.take().iter().for_each(|stats| stats.tried());
+        Ok(())
     }
 }
--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -26,17 +26,26 @@
 /// The end of a connection that its peer ends right after an answer is here within this time.
 const SETTLES: Duration = Duration::from_millis(5);
 
+/// A process at an endpoint, as the list named it when a connection was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// Which endpoint.
+    pub endpoint: EndpointId,
+    /// Where it was.
+    pub addr: SocketAddr,
+    started: Option<u64>,
+}
+
 /// A connection, or the means to make one.
 pub struct Lease {
     /// The client that holds it.
     pub client: Client,
     /// Where it leads.
-    pub addr: SocketAddr,
+    pub target: Target,
     /// What became of it.
     pub seen: Rc<Seen>,
     /// It was kept from an earlier request.
     pub kept: bool,
-    endpoint: EndpointId,
     /// Of all connections, and of this cluster's.
     _open: [Open; 2],
 }
@@ -57,6 +66,13 @@
     ended_one: Option<Instant>,
 }
 
+impl Backend {
+    /// Whether it is still this process, and takes requests.
+    fn is(&self, target: Target) -> bool {
+        self.ready && self.addr == Some(target.addr) && self.started == target.started
+    }
+}
+
 /// Endpoints by number.
 #[derive(Default)]
 struct Table(RefCell<Vec<Backend>>);
@@ -155,6 +171,12 @@
         self.table.0.borrow().get(endpoint.0 as usize).is_some_and(|b| b.ready)
     }
 
+    /// Whether a target still takes requests: the list names the same process as ready.
+    pub fn still_takes(&self, target: Target) -> bool {
+        let table = self.table.0.borrow();
+        table.get(target.endpoint.0 as usize).is_some_and(|backend| backend.is(target))
+    }
+
     /// Whether it names any.
     pub fn any_takes_requests(&self) -> bool {
         self.ready.get() > 0
@@ -165,7 +187,7 @@
     pub fn lease(&self, endpoint: EndpointId) -> Option<Lease> {
         let mut table = self.table.0.borrow_mut();
         let backend = table.get_mut(endpoint.0 as usize)?;
-        let addr = backend.addr?;
+        let target = Target { endpoint, addr: backend.addr?, started: backend.started };
         // Danger: one that ends connections right after an answer. Where that was seen lately, a connection is
         // used again only once the end would have come.
         let wary = backend.ended_one.is_some_and(|at| at.elapsed() < self.idle_life);
@@ -185,15 +207,14 @@
         }
         debug!(self.log, "connect"; "open" => self.connections(), "endpoint" => endpoint.0);
         let open = [self.descriptors.take()?, self.open.clone()];
-        Some(self.connection(endpoint, addr, open))
+        Some(self.connection(target, open))
     }
 
     /// Takes back a connection if it can carry another request and the endpoint is where it was and takes any.
     pub fn give_back(&self, lease: Lease) {
         let mut table = self.table.0.borrow_mut();
-        if let Some(backend) = table.get_mut(lease.endpoint.0 as usize)
-            && backend.addr == Some(lease.addr)
-            && backend.ready
+        if let Some(backend) = table.get_mut(lease.target.endpoint.0 as usize)
+            && backend.is(lease.target)
             && lease.seen.reusable()
         {
             backend.idle.push(Idle { lease, since: Instant::now() });
@@ -223,10 +244,10 @@
         }
     }
 
-    fn connection(&self, endpoint: EndpointId, addr: SocketAddr, open: [Open; 2]) -> Lease {
+    fn connection(&self, target: Target, open: [Open; 2]) -> Lease {
         let seen = Rc::new(Seen::new(LONGEST as usize));
-        let client = client(addr, self.connect_timeout.get(), &seen);
-        Lease { client, addr, seen, kept: false, endpoint, _open: open }
+        let client = client(target.addr, self.connect_timeout.get(), &seen);
+        Lease { client, target, seen, kept: false, _open: open }
     }
 }
 
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -276,7 +276,9 @@
         trace::action(&self.log, &action);
         let Context { book, backends, .. } = &*self.context;
         match action {
-            Action::Send { request, endpoint, cap } => route::route(&self.context, request, endpoint, cap),
+            Action::Send { request, endpoint, cap, start_by } => {
+                route::route(&self.context, request, endpoint, cap, self.shared.clock.instant(start_by));
+            }
             Action::Cancel { request, attempt } => book.cancel(request, attempt),
             Action::Shed { request, come_back } => {
                 let come_back = Duration::from_nanos(come_back);
--- a/crates/proxy/src/stages/book.rs
+++ b/crates/proxy/src/stages/book.rs
@@ -20,6 +20,8 @@
     pub payload: Rc<Payload>,
     /// When it times out.
     pub until: Instant,
+    /// Its first byte is written before then, or never.
+    pub start_by: Instant,
     /// Resolves when the decisions call it off.
     pub cancelled: oneshot::Receiver<()>,
 }
@@ -68,7 +70,7 @@
 
     /// Enters an attempt; the number it would have had where the request has ended. Also says whether it is
     /// the only one out.
-    pub fn attempt(&self, request: RequestId) -> (Result<Attempt, u32>, bool) {
+    pub fn attempt(&self, request: RequestId, start_by: Instant) -> (Result<Attempt, u32>, bool) {
         let mut accounts = self.accounts.borrow_mut();
         let Some(account) = accounts.get_mut(&request) else { return (Err(0), true) };
         let (number, lone) = (account.attempts.len() as u32, account.out == 0);
@@ -79,7 +81,12 @@
             return (Err(number), lone);
         }
         let (payload, until) = (account.payload.clone(), account.until);
-        (Ok(Attempt { request, number, payload, until, cancelled }), lone)
+        (Ok(Attempt { request, number, payload, until, start_by, cancelled }), lone)
+    }
+
+    /// Whether a request has no verdict yet: its client waits.
+    pub fn is_open(&self, request: RequestId) -> bool {
+        self.accounts.borrow().get(&request).is_some_and(|account| account.verdict.is_some())
     }
 
     /// Calls an attempt off.
--- a/crates/proxy/src/stages/mod.rs
+++ b/crates/proxy/src/stages/mod.rs
@@ -9,6 +9,7 @@
 pub mod book;
 pub mod choose;
 pub mod context;
+mod gate;
 pub mod intake;
 pub mod relay;
 pub mod route;
--- a/crates/proxy/src/stages/route.rs
+++ b/crates/proxy/src/stages/route.rs
@@ -7,10 +7,10 @@
 use std::time::{Duration, Instant};
 
 /// Starts an attempt, or ends it as never issued.
-pub fn route(context: &Rc<Context>, request: RequestId, endpoint: EndpointId, cap: Nanos) {
+pub fn route(context: &Rc<Context>, request: RequestId, endpoint: EndpointId, cap: Nanos, start_by: Instant) {
     let ready = context.backends.takes_requests(endpoint);
     must(ready, "no call is sent to a draining or unknown endpoint");
-    let (attempt, lone) = context.book.attempt(request);
+    let (attempt, lone) = context.book.attempt(request, start_by);
     must(lone || context.limits.second_copies, "no two attempts of a request are out at once");
     match attempt {
         Ok(attempt) if ready => {
--- a/crates/proxy/src/stages/send.rs
+++ b/crates/proxy/src/stages/send.rs
@@ -3,7 +3,8 @@
 use super::admit::MARGIN;
 use super::book::Attempt;
 use super::context::Context;
-use crate::answer::Seen;
+use super::gate::WriteGate;
+use crate::answer::{Gate, Seen};
 use crate::backends::Lease;
 use crate::bodies::{Feed, Gathered, LONGEST, ON_THE_WAY, SHORT, Upload, feed};
 use crate::call::{Answer, AnswerBody, Body, Payload, Verdict};
@@ -58,19 +59,28 @@
     let began = Instant::now();
     let lease = context.backends.lease(endpoint);
     let seen = lease.as_ref().map(|lease| lease.seen.clone());
+    if let Some(lease) = &lease {
+        let gate = WriteGate::new(&context, &attempt, lease.target);
+        let gate: Gate = Box::new(move || gate.check().map_err(std::io::Error::other));
+        lease.seen.begin(Some(gate));
+    }
     let upload = match &attempt.payload.body {
         Body::Streamed(upload) => Some(upload.clone()),
         Body::Whole { .. } => None,
     };
     let (mut lets_go, mut starts) = (upload.is_some(), began);
     let mut end = {
-        let exchange = exchange(&context, endpoint, lease, &attempt.payload, attempt.until);
+        let exchange = exchange(&context, lease, &attempt.payload, attempt.until);
         let expires = expires(upload.as_deref(), attempt.until);
         tokio::pin!(exchange, expires);
         loop {
             tokio::select! {
                 biased;
-                _ = &mut attempt.cancelled => break Outcome::Cancelled.into(),
+                _ = &mut attempt.cancelled => break match &seen {
+                    // Danger: taken for one that may have run, it is the last attempt of a request that must not run twice.
+                    Some(seen) if !seen.written() => Outcome::Moot.into(),
+                    _ => Outcome::Cancelled.into(),
+                },
                 () = let_go(upload.as_deref()), if lets_go => {
                     lets_go = false;
                     begun(&context, &attempt);
@@ -78,7 +88,7 @@
                 end = &mut exchange => break end,
                 () = &mut expires => break match &seen {
                     // Time ran out before there was a connection to write to.
-                    Some(seen) if !seen.connected.get() => Outcome::ConnectFailed.into(),
+                    Some(seen) if !seen.written() => Outcome::ConnectFailed.into(),
                     _ => Outcome::Timeout.into(),
                 },
             }
@@ -159,17 +169,11 @@
     context.tell(Event::Outcome(end));
 }
 
-async fn exchange(
-    context: &Context,
-    endpoint: EndpointId,
-    lease: Option<Lease>,
-    payload: &Payload,
-    until: Instant,
-) -> End {
+async fn exchange(context: &Context, lease: Option<Lease>, payload: &Payload, until: Instant) -> End {
     // Danger: being out of descriptors is no fault of the backend's, and must not be held against it.
     let Some(lease) = lease else { return Outcome::Moot.into() };
-    let left = until.saturating_duration_since(Instant::now());
-    let request = backend::request(&lease.client, lease.addr, payload, left);
+    let (endpoint, left) = (lease.target.endpoint, until.saturating_duration_since(Instant::now()));
+    let request = backend::request(&lease.client, lease.target.addr, payload, left);
     lease.seen.bodiless.set(payload.method == Method::HEAD);
     let (seen, kept) = (lease.seen.clone(), lease.kept);
     seen.tries.replace(context.stats.clone());
@@ -341,6 +345,7 @@
 fn failure(error: &SendRequestError, seen: &Seen) -> Outcome {
     match error {
         _ if seen.spoilt.get() => Outcome::Error,
+        _ if seen.withheld() => Outcome::Moot,
         SendRequestError::Connect(ConnectError::Disconnected) => Outcome::Reset,
         SendRequestError::Connect(_) => Outcome::ConnectFailed,
         SendRequestError::Body(_) => Outcome::Cancelled, // the client's body broke off, and the call with it
@@ -377,7 +382,8 @@
         let Some(lease) = lease else { return Outcome::ConnectFailed.into() };
         lease.seen.bodiless.set(false);
         lease.seen.tries.take(); // a probe is no attempt
-        let sent = backend::probe(&lease.client, lease.addr).send();
+        lease.seen.begin(None);
+        let sent = backend::probe(&lease.client, lease.target.addr).send();
         match receive(&context, lease, &Method::GET, sent).await {
             Ok((_, _, Some(_))) => Outcome::Error.into(), // no probe has so long an answer
             Ok((head, ..)) => {
--- a/crates/proxy/src/wire.rs
+++ b/crates/proxy/src/wire.rs
@@ -24,7 +24,12 @@
     ) -> Poll<io::Result<()>>;
 
     /// Something is about to be written.
-    fn writes(&self) {}
+    ///
+    /// # Errors
+    /// It must not be.
+    fn writes(&self) -> io::Result<()> {
+        Ok(())
+    }
 }
 
 /// The stream.
@@ -49,7 +54,9 @@
 
 impl<T: Tap> AsyncWrite for Wire<T> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        self.tap.writes();
+        if let Err(closed) = self.tap.writes() {
+            return Poll::Ready(Err(closed));
+        }
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
--- /dev/null
+++ b/crates/proxy/tests/gate.rs
@@ -0,0 +1,109 @@
+//! What may have changed when a connection to a backend comes up at last: the first byte of an attempt is written, or
+//! it never is. Both sides of each instant are forced: the backend `latecomer` lets a connection come up only when the test
+//! has seen the other event in the program's log.
+
+mod scenario;
+use scenario::{SETTINGS, play_with};
+
+/// `latecomer` comes first in the preferred order, and nothing connects to it for checks.
+fn play_late(known: &[&str], settings: &str, text: &str) {
+    play_with(known, &settings.replace("\"probes\":true", "\"probes\":false"), text);
+}
+
+fn patient() -> String {
+    SETTINGS.replace("\"connect-timeout-ns\":2000000000", "\"connect-timeout-ns\":60000000000")
+}
+
+const WATCH: &str = "discovery expect GET /registry/instances?watch=1&after=41
+    discovery send raw HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n";
+
+#[test]
+fn a_connection_that_comes_up_late_carries_its_request_if_nothing_has_changed() {
+    play_late(
+        &["latecomer"],
+        &patient(),
+        "c send POST /1 X-Class=book | x
+         proxy expect log connect
+         latecomer accept
+         latecomer expect POST /1 | x
+         latecomer send 200 | yes
+         c expect 200 | yes",
+    );
+}
+
+#[test]
+fn nothing_is_written_to_an_endpoint_that_drains_by_the_time_its_connection_comes_up() {
+    play_late(
+        &["latecomer", "a"],
+        &patient(),
+        &format!(
+            "{WATCH}
+             c send POST /1 X-Class=book | x
+             proxy expect log connect
+             discovery send chunk {{\"version\":42,\"servers\":[{{\"id\":\"latecomer-0\",\"addr\":\"@latecomer\",\"state\":\"draining\"}}]}}\\n
+             proxy expect log version: 42
+             latecomer accept
+             latecomer expect nothing
+             a expect POST /1 | x
+             a send 200 | from a
+             c expect 200 | from a"
+        ),
+    );
+}
+
+#[test]
+fn nothing_is_written_to_another_process_than_the_one_that_was_chosen() {
+    play_late(
+        &["latecomer", "a"],
+        &patient(),
+        &format!(
+            "{WATCH}
+             c send POST /1 X-Class=book | x
+             proxy expect log connect
+             discovery send chunk {{\"version\":42,\"servers\":[{{\"id\":\"latecomer-0\",\"addr\":\"@latecomer\",\"state\":\"ready\",\"zone\":\"z\",\"started_ms\":77}}]}}\\n
+             proxy expect log version: 42
+             latecomer accept
+             latecomer expect nothing
+             a expect POST /1 | x
+             a send 200 | from a
+             c expect 200 | from a"
+        ),
+    );
+}
+
+#[test]
+fn nothing_is_written_for_a_client_that_has_left() {
+    play_late(
+        &["latecomer"],
+        &patient(),
+        "c send POST /1 X-Class=book | x
+         proxy expect log connect
+         c close
+         proxy expect log aborted
+         c2 send POST /2 X-Class=book | y
+         proxy expect log connect
+         latecomer accept
+         latecomer expect POST /2 | y
+         latecomer send 200 | yes
+         c2 expect 200 | yes",
+    );
+}
+
+#[test]
+fn a_repeat_is_not_written_once_its_window_is_over() {
+    // The window of 800 ms ends while the connection for the repeat is held back, whatever the machine does.
+    let settings = patient()
+        .replace("\"group\":\"cell\",\"window-ns\":10000000000", "\"group\":\"all\",\"window-ns\":800000000");
+    play_late(
+        &["e", "latecomer"],
+        &settings,
+        "c send POST /1 X-Class=book | x
+         e expect POST /1
+         e send 500
+         proxy expect log connect
+         proxy expect log connect
+         latecomer accept
+         latecomer expect nothing
+         c expect 503 retry-after=*",
+    );
+}
--- a/crates/proxy/tests/scenario/mod.rs
+++ b/crates/proxy/tests/scenario/mod.rs
@@ -19,8 +19,9 @@
 //! ```
 //!
 //! Clients are `c`, `c2`...; backends `a` and `b` answer probes by themselves, `a` is the preferred one, and a
-//! call is `on=same` or `on=new` connection; `x` comes before `a` but refuses connections; `discovery` is a
-//! peer like a backend, and `moved` another. Nothing sleeps: every wait is for an event.
+//! call is `on=same` or `on=new` connection; `x` comes before `a` but refuses connections, and to `latecomer` none comes up
+//! before `latecomer accept`; `a expect nothing` waits for the end of a connection that has brought no call. `discovery` is
+//! a peer like a backend, and `moved` another. Nothing sleeps: every wait is for an event.
 
 #![allow(dead_code)] // no test file uses all of it
 
@@ -30,6 +31,7 @@
 use olivecart_lab::control_plane::Resources;
 use plane::Plane;
 use program::Program;
+use socket2::{Domain, Socket, Type};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -105,14 +107,19 @@
 /// Serves each connection on a thread of its own, for good.
 pub fn serve(connection: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let (addr, connection) = (listener.local_addr().expect("bound"), Arc::new(connection));
+    let addr = listener.local_addr().expect("bound");
+    serve_at(listener, connection);
+    addr
+}
+
+fn serve_at(listener: TcpListener, connection: impl Fn(TcpStream) + Send + Sync + 'static) {
+    let connection = Arc::new(connection);
     std::thread::spawn(move || {
         for stream in listener.incoming().map_while(Result::ok) {
             let connection = connection.clone();
             std::thread::spawn(move || connection(stream));
         }
     });
-    addr
 }
 
 /// Calls once on a connection of its own.
@@ -185,13 +192,55 @@
     /// Arrived and not yet asked for.
     waiting: Vec<Arrival>,
     current: Option<(u32, TcpStream)>,
+    /// Connections to it do not come up yet.
+    closed: Option<Door>,
+}
+
+/// A listener whose queue is full, so that the system lets no further connection come up; and who fills it.
+struct Door {
+    listener: TcpListener,
+    crowd: TcpStream,
+}
+
+impl Door {
+    fn shut() -> Door {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+        socket.listen(0).expect("it listens");
+        let listener = TcpListener::from(socket);
+        let crowd =
+            TcpStream::connect(listener.local_addr().expect("bound")).expect("the one that is queued");
+        Door { listener, crowd }
+    }
+
+    /// Those that knock come up when they next do: within a second for one that has not been waiting for longer.
+    fn open(self) -> TcpListener {
+        let (_, crowd) = self.listener.accept().expect("the one that was queued");
+        assert_eq!(crowd, self.crowd.local_addr().expect("connected"));
+        self.listener
+    }
 }
 
 impl Peer {
     fn new() -> Peer {
         let ((sender, arrivals), numbers) = (channel(), AtomicU32::new(1));
         let addr = serve(move |stream| listen(stream, numbers.fetch_add(1, Ordering::Relaxed), &sender));
-        Peer { addr, arrivals, waiting: Vec::new(), current: None }
+        Peer { addr, arrivals, waiting: Vec::new(), current: None, closed: None }
+    }
+
+    /// One that accepts nothing yet.
+    fn late() -> Peer {
+        let door = Door::shut();
+        let addr = door.listener.local_addr().expect("bound");
+        Peer { addr, arrivals: channel().1, waiting: Vec::new(), current: None, closed: Some(door) }
+    }
+
+    fn accept(&mut self) -> Result<(), String> {
+        let ((sender, arrivals), numbers) = (channel(), AtomicU32::new(1));
+        self.arrivals = arrivals;
+        let listener = self.closed.take().ok_or("it accepts")?.open();
+        serve_at(listener, move |stream| listen(stream, numbers.fetch_add(1, Ordering::Relaxed), &sender));
+        Ok(())
     }
 
     fn next<T>(
@@ -215,6 +264,11 @@
             None => (0, None),
         };
         match (verb, rest) {
+            ("accept", "") => self.accept(),
+            ("expect", "nothing") => match self.next(|_| true, |a| a)? {
+                Arrival::Closed(_) => Ok(()),
+                Arrival::Call(message, ..) => Err(format!("got `{}`", message.first)),
+            },
             ("expect", "closed") => self.next(|a| matches!(a, Arrival::Closed(n) if *n == number), drop),
             ("expect", _) => {
                 let call = self.next(|a| matches!(a, Arrival::Call(..)), |a| a)?;
@@ -330,7 +384,11 @@
 impl Stage {
     fn set(known: &[&str], settings: &str, operators: Option<&str>, console: Option<SocketAddr>) -> Stage {
         let names = ["a", "b", "d", "e", "discovery", "moved"];
-        let peers: HashMap<_, _> = names.iter().map(|n| (n.to_string(), Peer::new())).collect();
+        let mut peers: HashMap<_, _> = names.iter().map(|n| (n.to_string(), Peer::new())).collect();
+        let late = known.contains(&"latecomer");
+        if late {
+            peers.insert("latecomer".to_owned(), Peer::late());
+        }
         let listen = free_port();
         let server = |(cell, name): (usize, &&str)| {
             let addr = peers.get(*name).map_or_else(free_port, |p| p.addr);
@@ -345,6 +403,9 @@
         ));
         let mut program = olivecart("serve", &config);
         program.env("EDGE_DISCOVERY", peers["discovery"].addr.to_string());
+        if late {
+            program.env("OLIVECART_LOG", "debug"); // it says when it begins to connect
+        }
         console.iter().for_each(|console| _ = program.env("EDGE_CONSOLE", console.to_string()));
         let disk = fresh("");
         let names_plane = operators.is_some_and(|text| text.contains("@plane"));
