Test misbehaving discovery on sockets, and that idle clients leave it descriptors

A stand-in (tests/discovery/stand_in.rs) answers each call as it is told: silence, a reset, half a line, bytes or lines that never make an object, a head that stalls, nothing at all, 503, bad lines of twelve kinds, a list over several lines, a version that goes back, another address by SIGHUP meanwhile, down and back. After each the proxy learns of the change that the next call brings, and its log names what it met and the peer. Waits are for events; the time that each takes is bounded in virtual time (src/discovery/watch/tests).

Descriptors: found right as it was. Clients get half of what is left beside 48 descriptors (72 with a console) and 16 over that share; a connection to discovery counts against neither share. With 112 descriptors by the settings and by the system (ulimit -n), and 224 clients that are silent, in half a head, or idle behind a question for health, and come again when cut off, discovery goes down and comes back three times, and each time the proxy learns of its list; the console answers, a backend is reached, no accept fails.

--- /dev/null
+++ b/crates/proxy/tests/discovery.rs
@@ -0,0 +1,320 @@
+//! Discovery that misbehaves, on sockets: whatever befalls a call or a watch, the proxy learns of the change that the
+//! next call would bring, says in its log what it met, and keeps its list until then. How long it takes is shown in
+//! virtual time (`src/discovery/watch/tests`); no test here depends on the pace of the machine.
+
+mod scenario;
+#[path = "discovery/stand_in.rs"]
+mod stand_in;
+
+use scenario::program::Program;
+use scenario::{NEVER, SETTINGS, call_once, config_file, free_port, olivecart, read_message};
+use stand_in::{Answer, Discovery, End};
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::Command;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+/// Leaves one of two; the other is left out by no other line of these tests.
+const CHANGE: &str = r#"{"version":42,"servers":[{"id":"b-0","state":"gone"}]}"#;
+
+struct Proxy {
+    program: Program,
+    listen: SocketAddr,
+    console: SocketAddr,
+    config: PathBuf,
+}
+
+impl Proxy {
+    /// Knows of two endpoints, and has so many descriptors, by its settings and by the system.
+    fn start(discovery: SocketAddr, sockets: usize) -> Proxy {
+        let (listen, console) = (free_port(), free_port());
+        let server = |id| format!(r#"{{"id":"{id}-0","addr":"{}","state":"ready","zone":"z"}}"#, free_port());
+        let config = config_file(&format!(
+            r#"{{"listen":"{listen}","discovery":"{discovery}","limits":{{"sockets":{sockets}}},
+            "known":{{"version":41,"full":true,"servers":[{},{}]}},"settings":{SETTINGS}}}"#,
+            server("a"),
+            server("b")
+        ));
+        let own = olivecart("serve", &config);
+        let mut program = Command::new("sh");
+        program.arg("-c").arg(format!("ulimit -n {sockets}; exec \"$0\" \"$@\""));
+        program.arg(own.get_program()).args(own.get_args());
+        own.get_envs().for_each(|(name, value)| match value {
+            Some(value) => _ = program.env(name, value),
+            None => _ = program.env_remove(name),
+        });
+        let program = Program::start(program.env("EDGE_CONSOLE", console.to_string()));
+        Proxy { program, listen, console, config }
+    }
+
+    fn vars(&self) -> String {
+        call_once(self.console, "GET /_vars", "").map(|answer| answer.body).unwrap_or_default()
+    }
+
+    fn lists(&self, count: usize) -> bool {
+        self.vars().lines().any(|line| line == format!("edge.pool_size={count}"))
+    }
+
+    fn waits_to_list(&self, count: usize) {
+        let end = Instant::now() + NEVER;
+        while !self.lists(count) {
+            assert!(Instant::now() < end, "never {count}; the log: {:#?}", self.program.lines());
+            std::thread::yield_now();
+        }
+    }
+}
+
+/// What the next call after some bad answers brings, and what the log says of those.
+fn learns_after(bad: Vec<Answer>, said: &str) {
+    let discovery = Discovery::start(bad, Answer::lines(&format!("{CHANGE}\n"), End::Beats));
+    let proxy = Proxy::start(discovery.addr, 256);
+    proxy.program.line(said);
+    proxy.waits_to_list(1);
+    assert_eq!(discovery.call(), "GET /registry/instances?watch=1&after=41");
+    assert_eq!(discovery.call(), "GET /registry/instances?watch=1&after=41", "nothing was taken before");
+}
+
+#[test]
+fn a_watch_that_falls_silent_is_opened_anew() {
+    learns_after(vec![Answer::lines("\n", End::Silence)], "no whole line in time");
+}
+
+#[test]
+fn a_watch_that_is_reset_is_opened_anew_when_discovery_is_back() {
+    let at = free_port();
+    let more = r#"{"version":42,"servers":[{"id":"c-0","state":"draining"}]}"#;
+    let discovery = Discovery::start_at(at, vec![], Answer::lines(&format!("{more}\n"), End::Reset));
+    let proxy = Proxy::start(at, 256);
+    assert!(discovery.call().ends_with("after=41"));
+    proxy.waits_to_list(3);
+    drop(discovery);
+    proxy.program.line("the answer broke off");
+    let less = CHANGE.replace("42", "43");
+    let discovery = Discovery::start_at(at, vec![], Answer::lines(&format!("{less}\n"), End::Beats));
+    assert!(discovery.call().ends_with("after=42"));
+    proxy.waits_to_list(2);
+}
+
+#[test]
+fn half_a_line_and_then_silence_is_no_line() {
+    learns_after(vec![Answer::lines(r#"{"version":42,"serv"#, End::Silence)], "no whole line in time");
+}
+
+#[test]
+fn bytes_that_never_make_a_line_are_silence() {
+    learns_after(vec![Answer::lines("\n", End::Drips(" "))], "no whole line in time");
+}
+
+#[test]
+fn an_object_that_never_ends_is_silence_however_many_lines_it_has() {
+    let begun = "{\"version\":42,\"servers\":[],\"more\":[\n";
+    learns_after(vec![Answer::lines(begun, End::Drips("1,\n"))], "no whole line in time");
+}
+
+#[test]
+fn an_answer_that_stalls_in_its_head_is_given_up() {
+    learns_after(vec![Answer::Raw("HTTP/1.1 200 OK\r\nTransfer-Enc", End::Silence)], "no answer in time");
+}
+
+#[test]
+fn a_call_that_nothing_answers_is_given_up() {
+    learns_after(vec![Answer::Raw("", End::Silence)], "no answer in time");
+}
+
+#[test]
+fn a_refused_call_is_made_again() {
+    let refused = "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n";
+    learns_after(vec![Answer::Raw(refused, End::Silence); 2], "status 503");
+}
+
+#[test]
+fn a_list_may_be_indented_over_several_lines() {
+    let list = "{\r\n  \"version\": 42,\n  \"servers\": [\n    {\n      \"id\": \"b-0\",\n\n      \"state\": \"gone\"\n    }\n  ]\n}\n";
+    let discovery = Discovery::start(vec![], Answer::lines(list, End::Beats));
+    let proxy = Proxy::start(discovery.addr, 256);
+    proxy.waits_to_list(1);
+    assert!(discovery.call().ends_with("after=41"));
+    assert_eq!(
+        proxy.program.lines().iter().filter(|line| line.contains("ended")).count(),
+        0,
+        "at the first call"
+    );
+}
+
+#[test]
+fn a_bad_line_ends_the_watch_with_its_name_and_leaves_the_list_as_it_is() {
+    let gone = CHANGE.trim_end_matches('}');
+    let cases = [
+        (format!("{CHANGE}x\n"), "goes on with 'x'"),
+        (format!("{CHANGE},\n"), "goes on with ','"),
+        (format!("{gone}\n{CHANGE}\n"), "breaks off"),
+        (format!("x{CHANGE}\n"), "begins with 'x'"),
+        (format!("[{CHANGE}]\n"), "begins with '['"),
+        (format!("{gone},\"version\":43}}\n"), "duplicate field"),
+        (format!("{gone},\"full\":2}}\n"), "expected a boolean"),
+        (CHANGE.replace("42", "-42") + "\n", "unreadable"),
+        (CHANGE.replace("\"state\":\"gone\"", "\"stat\":\"gone\"") + "\n", "missing field"),
+        (CHANGE.replace("gone", "go\nne") + "\n", "breaks off"),
+        (CHANGE.replace("gone", &"x".repeat(5 << 20)) + "\n", "larger than"),
+        (format!("{gone},\"x\":{}", "[".repeat(20)), "nested more than"),
+    ];
+    let bad = cases.iter().map(|(line, _)| Answer::lines(line, End::Silence)).collect();
+    let discovery = Discovery::start(bad, Answer::lines(&format!("{CHANGE}\n"), End::Beats));
+    let proxy = Proxy::start(discovery.addr, 256);
+    for (line, said) in &cases {
+        assert!(discovery.call().ends_with("after=41"), "{:.200}", line);
+        let told = proxy.program.line("ended");
+        assert!(told.contains(said) && told.contains(&discovery.addr.to_string()), "{said}: {told}");
+    }
+    // The last one is what the proxy takes.
+    assert!(discovery.call().ends_with("after=41"));
+    proxy.waits_to_list(1);
+}
+
+#[test]
+fn a_change_that_goes_back_is_not_taken_and_the_entire_list_is_asked_for() {
+    let lines = r#"{"version":50,"servers":[]}
+        {"version":49,"servers":[{"id":"b-0","state":"gone"}]}
+        "#;
+    let entire = r#"{"version":3,"full":true,"servers":[{"id":"b-0","state":"draining"}]}"#;
+    let discovery = Discovery::start(
+        vec![Answer::lines(lines, End::Silence)],
+        Answer::lines(&format!("{entire}\n"), End::Beats),
+    );
+    let proxy = Proxy::start(discovery.addr, 256);
+    proxy.program.line("a list that goes back: version 49, and version 50 is held");
+    assert!(discovery.call().ends_with("after=41"));
+    assert!(discovery.call().ends_with("after=0"));
+    proxy.waits_to_list(1);
+}
+
+#[test]
+fn discovery_that_moves_while_a_call_hangs_or_a_watch_is_silent_is_called_at_its_new_place() {
+    for old in [Answer::Raw("", End::Silence), Answer::lines("\n", End::Silence)] {
+        let before = Discovery::start(vec![old], Answer::Raw("", End::Silence));
+        let after = Discovery::start(vec![], Answer::lines(&format!("{CHANGE}\n"), End::Beats));
+        let proxy = Proxy::start(before.addr, 256);
+        before.call();
+        let text = std::fs::read_to_string(&proxy.config).expect("read");
+        let text = text.replace(&before.addr.to_string(), &after.addr.to_string());
+        std::fs::write(&proxy.config, text).expect("written");
+        proxy.program.signal("HUP");
+        assert!(after.call().ends_with("after=41"));
+        proxy.waits_to_list(1);
+        before.closed();
+    }
+}
+
+#[test]
+fn discovery_that_is_down_at_the_start_is_found_when_it_comes() {
+    let at = free_port();
+    let proxy = Proxy::start(at, 256);
+    (0..3).for_each(|_| _ = proxy.program.line("no connection or no answer"));
+    let discovery = Discovery::start_at(at, vec![], Answer::lines(&format!("{CHANGE}\n"), End::Beats));
+    assert!(discovery.call().ends_with("after=41"));
+    proxy.waits_to_list(1);
+}
+
+/// Clients that connect, say nothing or ask for health once, and stay; whoever is cut off comes again.
+struct Crowd {
+    ends: Arc<AtomicBool>,
+    clients: Vec<std::thread::JoinHandle<()>>,
+}
+
+impl Crowd {
+    fn start(to: SocketAddr, count: usize) -> Crowd {
+        let ends = Arc::<AtomicBool>::default();
+        let client = |number: usize| {
+            let ends = ends.clone();
+            std::thread::spawn(move || {
+                while !ends.load(Ordering::SeqCst) {
+                    let Ok(mut stream) = TcpStream::connect_timeout(&to, Duration::from_secs(1)) else {
+                        continue;
+                    };
+                    let _ = stream.set_read_timeout(Some(Duration::from_millis(100)));
+                    let _ = match number % 3 {
+                        0 => stream.write_all(b"GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n"),
+                        1 => stream.write_all(b"GET /half"),
+                        _ => Ok(()),
+                    };
+                    let mut one = [0; 512];
+                    loop {
+                        match std::io::Read::read(&mut stream, &mut one) {
+                            Ok(0) => break, // cut off
+                            Err(e) if !matches!(e.kind(), std::io::ErrorKind::WouldBlock) => break,
+                            _ if ends.load(Ordering::SeqCst) => break,
+                            _ => {}
+                        }
+                    }
+                }
+            })
+        };
+        let clients = (0..count).map(client).collect();
+        Crowd { ends, clients }
+    }
+
+    fn end(self) {
+        self.ends.store(true, Ordering::SeqCst);
+        self.clients.into_iter().for_each(|client| client.join().expect("no panic"));
+    }
+}
+
+#[test]
+fn clients_that_lie_idle_leave_descriptors_for_discovery_backends_and_the_console() {
+    const SOCKETS: usize = 112;
+    let at = free_port();
+    let proxy = Proxy::start(at, SOCKETS);
+    let mut log = Vec::new();
+    let mut is_down = || {
+        let (end, from) = (Instant::now() + NEVER, log.len());
+        while !log[from..].iter().any(|line: &String| line.contains("no connection or no answer")) {
+            assert!(Instant::now() < end, "discovery is down: {log:#?}");
+            log.extend(proxy.program.lines());
+        }
+    };
+    is_down();
+    let crowd = Crowd::start(proxy.listen, 2 * SOCKETS);
+    // Their share is full, and there is no more for them.
+    let open = || std::fs::read_dir(format!("/proc/{}/fd", proxy.program.id())).expect("it runs").count();
+    let end = Instant::now() + NEVER;
+    let mut most = 0;
+    while most < (SOCKETS - 72) / 2 {
+        assert!(Instant::now() < end, "the crowd holds {most} descriptors at most");
+        most = most.max(open());
+    }
+    // While it goes on, discovery comes back, and tells of a backend, which a request reaches.
+    let backend = scenario::serve(|mut stream| {
+        let mut reader = BufReader::new(stream.try_clone().expect("cloned"));
+        while let Ok(Some(_)) = read_message(&mut reader) {
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi");
+        }
+    });
+    let server = |id: usize| format!(r#"{{"id":"c-{id}","addr":"{backend}","state":"ready","zone":"z"}}"#);
+    for version in 42..45 {
+        // Each time it has a list of another length, and goes down again with its watch.
+        let count = version - 41;
+        let servers: Vec<String> = (0..count).map(server).collect();
+        let list = format!(r#"{{"version":{version},"full":true,"servers":[{}]}}"#, servers.join(","));
+        let discovery = Discovery::start_at(at, vec![], Answer::lines(&format!("{list}\n"), End::Reset));
+        proxy.waits_to_list(count);
+        most = most.max(open());
+        drop(discovery);
+        is_down();
+    }
+    let end = Instant::now() + NEVER;
+    loop {
+        let first = "GET /x HTTP/1.1\r\nX-Request-Id: r1\r\nX-Class: view\r\nX-Deadline: 30000m\r\nX-Rest: ";
+        let answer = call_once(proxy.listen, first, "").map(|message| message.first);
+        if answer.as_ref().is_ok_and(|first| first.starts_with("200")) {
+            break;
+        }
+        assert!(Instant::now() < end, "never served: {answer:?}");
+    }
+    crowd.end();
+    log.extend(proxy.program.lines());
+    assert!(!log.iter().any(|line| line.contains("accept failed")), "descriptors ran out: {log:#?}");
+    assert!(most < SOCKETS, "{most} open");
+}
--- /dev/null
+++ b/crates/proxy/tests/discovery/stand_in.rs
@@ -0,0 +1,149 @@
+//! A discovery that answers each call as it is told.
+
+use super::scenario::{NEVER, read_message};
+use socket2::SockRef;
+use std::collections::VecDeque;
+use std::io::{BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// What an answer says again and again, it says so often.
+const PACE: Duration = Duration::from_millis(200);
+
+/// What a call gets.
+#[derive(Clone)]
+pub enum Answer {
+    /// These bytes.
+    Raw(&'static str, End),
+    /// The head of a good answer, and this as a chunk of it.
+    Lines(String, End),
+}
+
+/// What follows.
+#[derive(Clone, Copy)]
+pub enum End {
+    /// Nothing.
+    Silence,
+    /// A reset, when discovery goes down.
+    Reset,
+    /// This as a chunk, over and over.
+    Drips(&'static str),
+    /// Empty lines, as they should be.
+    Beats,
+}
+
+impl Answer {
+    pub fn lines(text: &str, end: End) -> Answer {
+        Answer::Lines(text.into(), end)
+    }
+}
+
+pub struct Discovery {
+    pub addr: SocketAddr,
+    calls: Receiver<String>,
+    closed: Receiver<()>,
+    ends: Arc<AtomicBool>,
+}
+
+struct Script {
+    next: Mutex<VecDeque<Answer>>,
+    last: Answer,
+    calls: Mutex<Sender<String>>,
+    closed: Mutex<Sender<()>>,
+    ends: Arc<AtomicBool>,
+}
+
+impl Discovery {
+    /// The first calls get these answers, and all others the last.
+    pub fn start(first: Vec<Answer>, last: Answer) -> Discovery {
+        Discovery::listen(TcpListener::bind("127.0.0.1:0").expect("a port"), first, last)
+    }
+
+    /// The same at an address where nobody listens.
+    pub fn start_at(at: SocketAddr, first: Vec<Answer>, last: Answer) -> Discovery {
+        let end = Instant::now() + NEVER;
+        loop {
+            match TcpListener::bind(at) {
+                Ok(listener) => return Discovery::listen(listener, first, last),
+                Err(e) => assert!(Instant::now() < end, "{at}: {e}"),
+            }
+        }
+    }
+
+    fn listen(listener: TcpListener, first: Vec<Answer>, last: Answer) -> Discovery {
+        let ((calls, called), (closed, was_closed), ends) =
+            (channel(), channel(), Arc::<AtomicBool>::default());
+        let addr = listener.local_addr().expect("bound");
+        let (next, calls, closed) = (Mutex::new(first.into()), Mutex::new(calls), Mutex::new(closed));
+        let script = Arc::new(Script { next, last, calls, closed, ends: ends.clone() });
+        std::thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                if script.ends.load(Ordering::SeqCst) {
+                    return;
+                }
+                let script = script.clone();
+                std::thread::spawn(move || _ = script.answer(stream));
+            }
+        });
+        Discovery { addr, calls: called, closed: was_closed, ends }
+    }
+
+    /// Waits for the next call, and gives its first line.
+    pub fn call(&self) -> String {
+        self.calls.recv_timeout(NEVER).expect("a call")
+    }
+
+    /// Waits until the proxy has ended a connection.
+    pub fn closed(&self) {
+        self.closed.recv_timeout(NEVER).expect("an end");
+    }
+}
+
+impl Drop for Discovery {
+    /// Goes down.
+    fn drop(&mut self) {
+        self.ends.store(true, Ordering::SeqCst);
+        let _ = TcpStream::connect(self.addr); // so that it sees that
+    }
+}
+
+impl Script {
+    fn answer(&self, mut stream: TcpStream) -> std::io::Result<()> {
+        let Some(call) = read_message(&mut BufReader::new(stream.try_clone()?))? else { return Ok(()) };
+        let answer = self.next.lock().expect("no panic").pop_front().unwrap_or_else(|| self.last.clone());
+        let (text, end) = match answer {
+            Answer::Raw(text, end) => (text.into(), end),
+            Answer::Lines(text, end) => {
+                (format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}", chunk(&text)), end)
+            }
+        };
+        let _ = self.calls.lock().expect("no panic").send(call.first);
+        stream.set_nodelay(true)?;
+        stream.write_all(text.as_bytes())?;
+        stream.set_read_timeout(Some(PACE))?;
+        let mut rest = [0; 64];
+        while !self.ends.load(Ordering::SeqCst) {
+            match stream.read(&mut rest) {
+                Err(e) if e.kind() == ErrorKind::WouldBlock => match end {
+                    End::Drips(text) => stream.write_all(chunk(text).as_bytes())?,
+                    End::Beats => stream.write_all(chunk("\n").as_bytes())?,
+                    _ => {}
+                },
+                Ok(n) if n > 0 => {}
+                _ => break,
+            }
+        }
+        if let End::Reset = end {
+            SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
+        }
+        let _ = self.closed.lock().expect("no panic").send(());
+        Ok(())
+    }
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
