Force the write gate's crossings for bursts and held requests whose clients left

Clients that leave while they wait for a connection or for room, eighty at once, and one whose request is held for want of endpoints: nothing of theirs is written afterwards. A client that left was never written for, before either: its attempt is called off.

--- a/crates/proxy/tests/gate.rs
+++ b/crates/proxy/tests/gate.rs
@@ -107,3 +107,59 @@
          c expect 503 retry-after=*",
     );
 }
+
+#[test]
+fn of_a_burst_of_clients_that_left_while_they_waited_for_a_connection_or_for_room_nothing_is_written() {
+    let each = |step: fn(u32) -> String| (1..=80).map(step).collect::<String>();
+    let (send, leave) = (
+        each(|n| format!("c{n} send GET /{n}\n")),
+        each(|n| format!("c{n} close\nproxy expect log aborted\n")),
+    );
+    play_late(
+        &["latecomer"],
+        &patient(),
+        &format!(
+            "{send}
+             {leave}
+             c100 send POST /100 X-Class=book | y
+             latecomer accept
+             latecomer expect POST /100 | y
+             latecomer send 200 | yes
+             c100 expect 200 | yes
+             c101 send GET /101
+             latecomer expect GET /101 on=same"
+        ),
+    );
+}
+
+#[test]
+fn a_request_that_is_held_for_want_of_endpoints_is_not_sent_once_its_client_has_left() {
+    let list = |version: u32, state: &str| {
+        format!(
+            "discovery send chunk {{\"version\":{version},\"servers\":[{{\"id\":\"a-0\",\"addr\":\"@a\",\"state\":\"{state}\"}}]}}\\n
+             proxy expect log version: {version}\n"
+        )
+    };
+    let (drains, ready) = (list(42, "draining"), list(43, "ready"));
+    play_late(
+        &["a", "latecomer"], // whose presence lets the program log what is aborted
+        &patient(),
+        &format!(
+            "{WATCH}
+             discovery send chunk {{\"version\":41,\"servers\":[{{\"id\":\"latecomer-0\",\"addr\":\"@latecomer\",\"state\":\"draining\"}}]}}\\n
+             {drains}
+             proxy expect unready
+             c send GET /left
+             c2 send GET /stays
+             proxy expect log request: 1
+             c close
+             proxy expect log aborted
+             {ready}
+             a expect GET /stays
+             a send 200 | yes
+             c2 expect 200 | yes
+             c3 send GET /next
+             a expect GET /next on=same"
+        ),
+    );
+}
