--- a/crates/decisions/src/logic.rs
+++ b/crates/decisions/src/logic.rs
@@ -44,6 +44,8 @@
 const COLD_SHARE: f64 = 0.6;
 /// An answer that took less than this multiple of the expected duration came in its usual time.
 const USUAL_RATIO: f64 = 2.0;
+/// What a copy's cold budget gave in this part of the window may be saved up.
+const SAVED_SHARE: f64 = 0.5;
 /// Part of its time for which a request is held while there is nowhere to send it.
 const HOLD_SHARE: f64 = 0.4;
 /// The same as a part of its class's aim: what waits longer is late in any case.
@@ -80,7 +82,7 @@
     full_until: Nanos,
     /// Calls it answered lately.
     rate: Decayed,
-    /// Cold budget: work that may be sent, and when it was last topped up.
+    /// Cold budget: calls of mean work that may be sent, or are owed; and when it was last topped up.
     budget: f64,
     topped: Nanos,
 }
@@ -195,8 +197,11 @@
 
     fn follow_list(&mut self, change: ListChange, out: &mut Vec<Action>) {
         let must_ask = self.settings.rules.must_ask_in;
-        let subscribe = self.settings.discovery == Discovery::Subscribe;
         let whole = !matches!(change, ListChange::Delta(_));
+        if matches!(change, ListChange::Cached(_)) && self.settings.discovery == Discovery::Subscribe {
+            let wait = self.rng.u64(0..=must_ask / 2);
+            self.set_timer(wait, Timer::Discovery, out);
+        }
         let entries = match change {
             ListChange::Failed => {
                 // Discovery is one small service for all: ask again spread out, and further apart each time.
@@ -205,24 +210,16 @@
                 let wait = wait + self.rng.u64(0..=wait);
                 return self.set_timer(wait, Timer::Discovery, out);
             }
-            ListChange::Cached(entries) if subscribe => {
-                let wait = self.rng.u64(0..=must_ask / 2);
-                self.set_timer(wait, Timer::Discovery, out);
-                entries
-            }
             ListChange::Cached(entries) | ListChange::Full(entries) | ListChange::Delta(entries) => entries,
         };
         self.watch_failures = 0;
-        if whole {
-            self.endpoints.iter_mut().for_each(|e| e.entry.state = State::Gone);
-        }
+        self.endpoints.iter_mut().filter(|_| whole).for_each(|e| e.entry.state = State::Gone);
         entries.into_iter().for_each(|entry| self.list_entry(entry, out));
         // The preferred order: endpoints stand on a ring by the hash of their names, this zone's before the
         // others', and each instance starts where its number points. Starts are evenly spread, so that each
         // endpoint is the favourite of about as many instances and their own counts tell of most of its load.
         let zone = self.settings.zone;
-        let ready = |e: &&Endpoint| e.entry.state == State::Ready;
-        let mut ring: Vec<_> = self.endpoints.iter().filter(ready).collect();
+        let mut ring: Vec<_> = self.endpoints.iter().filter(|e| e.entry.state == State::Ready).collect();
         ring.sort_by_cached_key(|e| (e.entry.zone != zone, xxh3_64(e.entry.name.as_bytes()), e.entry.id));
         let near = ring.iter().take_while(|e| e.entry.zone == zone).count();
         let start = (f64::from(self.settings.me) * GOLDEN).fract();
@@ -234,20 +231,17 @@
 
     fn list_entry(&mut self, entry: Entry, out: &mut Vec<Action>) {
         let (slot, now, ready) = (entry.id.0 as usize, self.now, entry.state == State::Ready);
-        if self.endpoints.len() <= slot {
-            self.endpoints.resize_with(slot + 1, Endpoint::default);
-        }
+        self.endpoints.resize_with(self.endpoints.len().max(slot + 1), Endpoint::default);
         // The cold budget starts at a random phase of one call: all instances together then begin at the
         // budgeted rate instead of sending their first call at the same moment.
-        let (budget, period) = (self.rng.f64() * self.mean_work(), self.check_period());
+        let (budget, period) = (-self.rng.f64(), self.check_period());
         let first_check = self.rng.u64(0..=period);
         let e = &mut self.endpoints[slot];
         let mut entered = ready && e.entry.state != State::Ready;
         if e.entry.name.is_empty() || entry.started.is_some() && entry.started != e.entry.started {
             // New, or a new process that owes nothing to its predecessor but the calls still out.
-            let (answered, topped, in_flight) = (now, now, e.in_flight);
-            let fresh = Endpoint { up: true, slow: 1.0, answered, topped, ..Endpoint::default() };
-            *e = Endpoint { in_flight, peak: in_flight, opened: in_flight, budget, ..fresh };
+            let fresh = Endpoint { up: true, slow: 1.0, answered: now, topped: now, ..Endpoint::default() };
+            *e = Endpoint { in_flight: e.in_flight, peak: e.in_flight, opened: e.in_flight, budget, ..fresh };
             entered = ready;
         }
         e.entry = entry;
@@ -276,10 +270,9 @@
     fn check_due(&mut self, slot: usize, out: &mut Vec<Action>) {
         let (now, period) = (self.now, self.check_period());
         let jitter = self.rng.u64(0..=period / 8);
-        let Some(e) = self.endpoints.get_mut(slot) else { return };
-        if e.next_check > now || e.entry.state != State::Ready {
-            return; // rescheduled meanwhile, or no longer listed
-        }
+        // Else it was rescheduled meanwhile, or is no longer listed.
+        let due = |e: &&mut Endpoint| e.next_check <= now && e.entry.state == State::Ready;
+        let Some(e) = self.endpoints.get_mut(slot).filter(due) else { return };
         // One that is down or held back is looked at more often: its place waits for it.
         let wait = if e.up && e.held.is_none() { period } else { period / 8 } + jitter;
         // Danger: idle connections left from a peak fill the endpoint's table and lock others out. But a new
@@ -332,8 +325,10 @@
         // Danger: a surge or our own isolation fails checks everywhere, and the survivors drown.
         let panic = (good as f64) < PANIC_SHARE * self.order.len() as f64;
         let repeatable = !matches!(self.settings.classes[request.class].effect, Effect::Once);
-        let answered = self.order.iter().map(|&slot| self.endpoints[slot].rate.add(now, RATE_SPAN, 0.0));
-        let mean = answered.sum::<f64>() / self.order.len().max(1) as f64;
+        self.order.iter().for_each(|&slot| _ = self.endpoints[slot].rate.add(now, RATE_SPAN, 0.0));
+        let mean = self.listed().map(|e| e.rate.sum).sum::<f64>() / self.order.len().max(1) as f64;
+        let warm = self.listed().filter(|e| standing(e) && self.warmth(e) >= 1.0);
+        let warm = warm.fold([0.0; 3], |[n, all, seen], e| [n + 1.0, all + e.entry.size, seen + e.rate.sum]);
         let (ranks, mut rank) = (if panic { self.order.len() } else { good.max(1) }, 0);
         let (mut lowest, mut eligible) = (u32::MAX, Vec::with_capacity(self.order.len()));
         for at in 0..self.order.len() {
@@ -345,20 +340,23 @@
             let joins = |(group, like): (Group, usize)| group.joins(&self.endpoints[like].entry, &e.entry);
             let tried = request.tries.iter().any(|t| t.slot == slot);
             // Danger: marks may all be wrong, but who says it is full is; a call there costs it a handshake.
-            let open = (stands || trial) && e.full_until <= now;
-            if !permit.within.is_none_or(joins) || tried || !open {
-                continue;
-            }
+            let open = (stands || trial) && e.full_until <= now && !tried && permit.within.is_none_or(joins);
+            // A cold budget is in parts of a call already, and has to be used by the copy that has it. Danger:
+            // at first a call takes many times as long there.
+            let (cold, near) = (self.warmth(e) < 1.0, e.entry.zone == self.settings.zone);
+            let first = cold && near && self.warmth(e) * USUAL_RATIO >= 1.0;
+            let open = open && (!cold || self.cold_budget_allows(slot, request.work, warm));
+            let part = if cold { 0.0 } else { part };
             // Danger: repeats are many just where there is no room, and crowd out what would be in time.
-            if self.has_room(slot, part, mean, request) && self.cold_budget_allows(slot, request.work) {
+            if open && self.has_room(slot, part, mean, request) {
                 lowest = lowest.min(self.endpoints[slot].in_flight);
-                eligible.push((slot, self.pressure(&self.endpoints[slot])));
+                eligible.push((slot, self.pressure(&self.endpoints[slot]), first));
             }
         }
         let limit = f64::from(lowest) + 1.0 + ALLOWANCE;
-        let first = eligible.iter().find(|(_, pressure)| *pressure <= limit);
+        let first = eligible.iter().filter(|e| e.1 <= limit).min_by_key(|e| !e.2);
         let least = || eligible.iter().min_by(|a, b| a.1.total_cmp(&b.1));
-        first.or_else(least).map(|&(slot, _)| slot)
+        first.or_else(least).map(|e| e.0)
     }
 
     /// The count with this call, weighed by how slow it was lately and how often it failed; both fade.
@@ -384,25 +382,30 @@
 
     // ---- cold budget ----
 
-    /// A cold endpoint gets this instance's mean rate of work per endpoint, which warm ones are seen to
-    /// carry, times the capacity it is sure to have by now, times part of the rule's multiple. All instances
-    /// together then keep the rule; one that knows no rate yet sends next to nothing.
-    fn cold_budget_allows(&mut self, slot: usize, work: f64) -> bool {
-        let (now, rules) = (self.now, &self.settings.rules);
-        let (span, fall, multiple) = (rules.must_ask_in as f64, rules.fall as f64, rules.fall_multiple);
-        let (cold, least) = (rules.cold.max(1) as f64, rules.cold_share);
-        let age = self.endpoints[slot].entry.started.map(|t| now.saturating_sub(t) as f64 / cold);
-        let Some(age) = age.filter(|age| *age < 1.0) else { return true };
-        let ordinary = self.sent_work.add(now, span, 0.0) / span / self.order.len().max(1) as f64;
+    /// What an endpoint is sure to be capable of by its age, as a part of what it can do when warm.
+    fn warmth(&self, e: &Endpoint) -> f64 {
+        let (least, cold) = (self.settings.rules.cold_share, self.settings.rules.cold.max(1) as f64);
+        least + (1.0 - least) * e.entry.started.map_or(1.0, |t| self.now.saturating_sub(t) as f64 / cold)
+    }
+
+    /// The sum over all instances keeps the rule: a cold endpoint gets what a warm one answers this instance,
+    /// times its warmth, times part of the rule's multiple; where none is warm, what the mean one was sent.
+    /// One that knows no rate yet sends next to nothing. `warm`: their number, size in all, calls answered.
+    fn cold_budget_allows(&mut self, slot: usize, work: f64, warm: [f64; 3]) -> bool {
+        let (now, unit, rules) = (self.now, self.usual_work(), self.settings.rules.clone());
+        let (span, [count, size, seen]) = (rules.must_ask_in as f64, warm);
+        let sent = self.sent_work.add(now, span, 0.0) / unit / span / self.order.len() as f64;
         // Danger: one smaller than the mean can do less than an ordinary load.
-        let mean_size = self.listed().map(|e| e.entry.size).sum::<f64>() / self.order.len().max(1) as f64;
-        let size = (self.endpoints[slot].entry.size / mean_size).clamp(0.0, 1.0);
-        let rate = ordinary * size * (least + (1.0 - least) * age) * multiple * COLD_SHARE;
-        let e = &mut self.endpoints[slot];
-        let most = (rate * fall).max(work) * 1.5;
-        e.budget = (e.budget + rate * now.saturating_sub(e.topped) as f64).min(most);
-        e.topped = now;
-        e.budget >= work
+        let part = (self.endpoints[slot].entry.size / size).min(1.0 / count);
+        let ordinary = if count > 0.0 { seen / RATE_SPAN * part } else { sent };
+        let rate = ordinary * self.warmth(&self.endpoints[slot]) * rules.fall_multiple * COLD_SHARE;
+        let (heavy, e) = ((work / unit - 1.0).max(0.0), &mut self.endpoints[slot]);
+        let most = rate * rules.fall as f64 * SAVED_SHARE + if count > 0.0 { 0.0 } else { heavy };
+        (e.budget, e.topped) = (e.budget + rate * now.saturating_sub(e.topped) as f64, now);
+        // Danger: thirty copies with a call saved up each send them at the same moment. What is not used in
+        // time goes by whole calls: the fraction stays, never rounded up, and the copies stay out of step.
+        e.budget -= (e.budget - most).ceil().max(0.0);
+        e.budget >= heavy
     }
 
     // ---- attempts ----
@@ -432,11 +435,10 @@
         let target = if possible { self.walk(&request, &permit) } else { None };
         if let Some(slot) = target {
             let overdue = self.overdue(&request, request.tries.len());
-            let e = &mut self.endpoints[slot];
+            let (unit, e) = (self.usual_work(), &mut self.endpoints[slot]);
             e.in_flight += 1;
-            e.peak = e.peak.max(e.in_flight);
-            e.opened = e.opened.max(e.peak);
-            e.budget -= request.work;
+            (e.peak, e.opened) = (e.peak.max(e.in_flight), e.opened.max(e.in_flight));
+            e.budget -= request.work / unit;
             e.trial_at = now + overdue;
             out.push(Action::Send { request: id, endpoint: e.entry.id, cap: 0 });
             request.tries.push(Try { slot, sent: now, done: None });
@@ -466,9 +468,8 @@
         let slot = end.endpoint.0 as usize;
         let Some(e) = self.endpoints.get_mut(slot) else { return };
         e.in_flight = e.in_flight.saturating_sub(1);
-        if let Some(t) = self.open.get_mut(&end.request).and_then(|r| r.tries.get_mut(end.attempt as usize)) {
-            t.done = Some(end.outcome);
-        }
+        let attempt = self.open.get_mut(&end.request).and_then(|r| r.tries.get_mut(end.attempt as usize));
+        attempt.into_iter().for_each(|t| t.done = Some(end.outcome));
         self.learn(slot, &end, out);
         self.attempt_settled(&end, out);
         self.resume_held(out);
@@ -479,8 +480,7 @@
         if end.over {
             return self.forget(end.request, out);
         }
-        let Some(request) = self.open.get(&end.request) else { return };
-        if request.begun || request.tries.iter().any(|t| t.done.is_none()) {
+        if self.open.get(&end.request).is_none_or(|r| r.begun || r.tries.iter().any(|t| t.done.is_none())) {
             return; // another attempt is still out
         }
         // Danger: every tier retrying multiplies a failure. Only a call that never ran is retried for free.
@@ -499,12 +499,14 @@
         let called_off = end.outcome == Outcome::Cancelled && !end.over;
         if let Some(request) = self.open.get(&end.request).filter(|_| ok || called_off) {
             let (aim, took) = (self.settings.classes[request.class].aim as f64, end.took as f64);
-            let (norm, ratio) = (&mut self.norms[request.class], took / request.work.max(1.0));
-            // What a cold endpoint has answered in its usual time it may be sent again: that much it can do.
-            // Danger: by age alone a deploy leaves most of the load to the few that are warm, and they jam.
-            self.endpoints[slot].budget += if ok && ratio < USUAL_RATIO { request.work } else { 0.0 };
-            let slow = &mut self.endpoints[slot].slow;
-            *slow += if ok { LEARN * (ratio.min(LONGEST_RATIO) - *slow) } else { 0.0 };
+            let ratio = took / request.work.max(1.0);
+            // Danger: where none is warm all would wait, with no rate to go by. So what a cold endpoint has
+            // answered in its usual time it may be sent again: that much it can do.
+            let alone = ok && !self.listed().any(|e| e.up && e.held.is_none() && self.warmth(e) >= 1.0);
+            let again = if alone && ratio < USUAL_RATIO { request.work / self.usual_work() } else { 0.0 };
+            let (norm, e) = (&mut self.norms[request.class], &mut self.endpoints[slot]);
+            e.budget += again;
+            e.slow += if ok { LEARN * (ratio.min(LONGEST_RATIO) - e.slow) } else { 0.0 };
             // The first answers count in full: budgets are in units of this mean and must not shrink later.
             norm.seen += 1.0;
             let pace = (1.0 / norm.seen).max(LEARN / 4.0);
@@ -548,8 +550,7 @@
     /// Nothing more can be done: a refusal where it is true that trying again is harmless, else a failure.
     fn finish(&mut self, id: RequestId, come_back: Nanos, out: &mut Vec<Action>) {
         let come_back = come_back.min(self.settings.limits.max_retry_after);
-        let Some(request) = self.open.get(&id) else { return };
-        let harmless = self.permit(request).shed;
+        let Some(harmless) = self.open.get(&id).map(|r| self.permit(r).shed) else { return };
         out.push(if harmless { Action::Shed { request: id, come_back } } else { Action::Fail(id) });
         self.forget(id, out);
     }
@@ -568,7 +569,7 @@
         let norm = &mut self.norms[class];
         let mut scale = 1.0;
         if let Some(cost) = r.cost.map(|c| c as f64) {
-            norm.cost = if norm.cost == 0.0 { cost } else { norm.cost + LEARN / 4.0 * (cost - norm.cost) };
+            norm.cost += (1.0 / (1.0 + norm.seen)).max(LEARN / 4.0) * (cost - norm.cost);
             // Half of a duration is taken to follow the work; the other half is waiting on others.
             scale = 0.5 + 0.5 * cost / norm.cost.max(1.0);
         }
@@ -579,11 +580,9 @@
             .insert(r.id, Open { class, scale, work, deadline, hold, wait, tries: Vec::new(), begun: false });
         self.retry_budget = (self.retry_budget + RETRY_SHARE).min(RETRY_SAVINGS);
         let over_share = r.tenant.is_some_and(|t| self.over_share(t.0 as usize));
-        let shed = if self.settings.tier == 0 { self.overloaded(class, over_share) } else { None };
-        if let Some(wait) = shed {
-            self.finish(r.id, wait, out);
-        } else {
-            self.place(r.id, out);
+        match if self.settings.tier == 0 { self.overloaded(class, over_share) } else { None } {
+            Some(wait) => self.finish(r.id, wait, out),
+            None => self.place(r.id, out),
         }
     }
 
@@ -622,6 +621,12 @@
         self.norms.iter().map(|n| n.mean).sum::<f64>() / self.norms.len().max(1) as f64
     }
 
+    /// Mean over answers. Danger: by classes alike, one that is rare makes light of all the others.
+    fn usual_work(&self) -> f64 {
+        let sum = |part: fn(&Norm) -> f64| self.norms.iter().map(part).sum::<f64>();
+        (sum(|n| n.mean * (n.seen + 1.0)) / sum(|n| n.seen + 1.0)).max(1.0)
+    }
+
     /// Sends a new request; where no endpoint can take it now it waits for news. Danger: a client that is
     /// held until near its deadline and then turned away has no time left to go elsewhere.
     fn place(&mut self, id: RequestId, out: &mut Vec<Action>) {
@@ -660,12 +665,9 @@
 
     /// A request's timer: it waits for an endpoint, or its last attempt may be overdue.
     fn request_due(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let Some(request) = self.open.get(&id) else { return };
-        let Some(last) = request.tries.last() else { return self.place(id, out) };
-        let (slot, sent, waiting) = (last.slot, last.sent, last.done.is_none());
-        if request.begun || !waiting {
-            return;
-        }
+        let waits = |r: &&Open| !r.begun && r.tries.last().is_none_or(|t| t.done.is_none());
+        let Some(request) = self.open.get(&id).filter(waits) else { return };
+        let Some(&Try { slot, sent, .. }) = request.tries.last() else { return self.place(id, out) };
         let due = sent + self.overdue(request, request.tries.len() - 1);
         if due > self.now {
             return self.set_timer(due - self.now, Timer::Request(id), out); // more is known of its class now
