Test that only what was written for a request counts, and that the gate is asked once

Unit tests of answer.rs: the written mark starts anew with each request on a kept connection, a connection in the place of a kept one asks the same gate, and what the gate holds back counts as never written.

--- a/crates/decisions/src/logic.rs
+++ b/crates/decisions/src/logic.rs
@@ -341,8 +341,8 @@
             let tried = request.tries.iter().any(|t| t.slot == slot);
             // Danger: marks may all be wrong, but who says it is full is; a call there costs it a handshake.
             let open = (stands || trial) && e.full_until <= now && !tried && permit.within.is_none_or(joins);
-            // A cold budget is in parts of a call already, and has to be used by the copy that has it. Danger:
-            // at first a call takes many times as long there.
+            // A cold budget is in parts of a call already, and has to be used by the copy that has it.
+            // Danger: at first a call takes many times as long there.
             let (cold, near) = (self.warmth(e) < 1.0, e.entry.zone == self.settings.zone);
             let first = cold && near && self.warmth(e) * USUAL_RATIO >= 1.0;
             let open = open && (!cold || self.cold_budget_allows(slot, request.work, warm));
--- a/crates/proxy/src/answer.rs
+++ b/crates/proxy/src/answer.rs
@@ -329,3 +329,6 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests;
