Test discovery that is asked, and a start while it is down, stalled or silent

A proxy whose settings have discovery asked for calls again after a refusal, a call that hangs and a watch that falls silent. A start waits for none of these: ready 11, 14 and 8 ms after the program was begun, with the list as it was known (a debug build, one run).

Found right as it was; not seen failing, since no mend goes with them.

--- a/crates/proxy/tests/discovery.rs
+++ b/crates/proxy/tests/discovery.rs
@@ -30,11 +30,15 @@
 impl Proxy {
     /// Knows of two endpoints, and has so many descriptors, by its settings and by the system.
     fn start(discovery: SocketAddr, sockets: usize) -> Proxy {
+        Proxy::with(SETTINGS, discovery, sockets)
+    }
+
+    fn with(settings: &str, discovery: SocketAddr, sockets: usize) -> Proxy {
         let (listen, console) = (free_port(), free_port());
         let server = |id| format!(r#"{{"id":"{id}-0","addr":"{}","state":"ready","zone":"z"}}"#, free_port());
         let config = config_file(&format!(
             r#"{{"listen":"{listen}","discovery":"{discovery}","limits":{{"sockets":{sockets}}},
-            "known":{{"version":41,"full":true,"servers":[{},{}]}},"settings":{SETTINGS}}}"#,
+            "known":{{"version":41,"full":true,"servers":[{},{}]}},"settings":{settings}}}"#,
             server("a"),
             server("b")
         ));
@@ -218,6 +222,44 @@
     proxy.waits_to_list(1);
 }
 
+#[test]
+fn discovery_that_has_to_be_asked_is_asked_again_after_a_call_that_failed_or_hung() {
+    let settings =
+        SETTINGS.replace("automatic", "subscribe").replace("must-ask-in-ns\":10", "must-ask-in-ns\":1");
+    assert!(settings.contains("subscribe") && settings.contains(r#""must-ask-in-ns":1000000000}"#));
+    let bad = vec![
+        Answer::Raw("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", End::Silence),
+        Answer::Raw("", End::Silence),
+        Answer::lines("\n", End::Silence),
+    ];
+    let discovery = Discovery::start(bad, Answer::lines(&format!("{CHANGE}\n"), End::Beats));
+    let proxy = Proxy::with(&settings, discovery.addr, 256);
+    for said in ["status 503", "no answer in time", "no whole line in time"] {
+        assert!(discovery.call().ends_with("after=41"));
+        proxy.program.line(said);
+    }
+    proxy.waits_to_list(1);
+}
+
+#[test]
+fn a_start_waits_for_no_discovery_that_is_down_stalled_or_silent() {
+    let down = free_port();
+    let stalled = Discovery::start(vec![], Answer::Raw("HTTP/1.1 200", End::Silence));
+    let silent = Discovery::start(vec![], Answer::lines("", End::Silence));
+    for at in [down, stalled.addr, silent.addr] {
+        let proxy = Proxy::start(at, 256);
+        let (begun, end) = (Instant::now(), Instant::now() + NEVER);
+        let is_ready =
+            || call_once(proxy.listen, "GET /health/ready", "").is_ok_and(|m| m.first.starts_with("200"));
+        while !is_ready() {
+            assert!(Instant::now() < end, "never ready");
+            std::thread::yield_now();
+        }
+        println!("ready after {:?}", begun.elapsed());
+        assert!(proxy.lists(2), "as it was known");
+    }
+}
+
 /// Clients that connect, say nothing or ask for health once, and stay; whoever is cut off comes again.
 struct Crowd {
     ends: Arc<AtomicBool>,
