Close every client connection by one routine: flush, half-close, drain, close

Seen: actix-http drops the stream without a shutdown after a parse error (dispatcher.rs, `error.take()` behind the last flush), lingers without a half-close after unread bodies, and drops a stream right after poll_shutdown: unread bytes reset the connection. Its graceful shutdown reads a request and clears it. It stops reading behind what is no request, so that a client's end is not heard of. Reader::poll_read cut idle connections without a look.

Now: closing.rs decides the steps and bounds (2 s without progress in the flush, 1 s and 256 KiB of drain); clients/stream.rs is the shell, and every end of the library's goes through Connection::close. An idle or silent connection that is to end gets a last look at the socket itself. What comes behind a request in flight is kept to 16 KiB, then dropped, to 4 MiB. Signals are registered before the address is bound; the end waits for lingering connections up to 150 ms before the kill. Renamed: InWork, in_work, keep_time; deaf and cut are gone.

The unit tests have not been run against mutations. Not run on this state: clusters, clusters_under_load, xds, config_tool.

--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -208,6 +208,7 @@
     let (log, guard) = logger(config.name.clone());
     let done = actix_rt::System::new().block_on(async {
         let hang_up = reload::register()?; // before anything that takes time
+        let mut signals = shutdown::Signals::register()?;
         let Config { listen, discovery, console, seed, sockets, bodies, known, origin, operators, .. } =
             config;
         // Danger: unregistered, the signal ends the program. Without an operators' file it does, as ever.
@@ -215,9 +216,10 @@
         let console =
             console.map(|at| console::bind(at).map_err(|e| format!("console: {at}: {e}"))).transpose()?;
         let begun = match &console {
-            Some(_) => {
-                Some(upgrade::begin(listen, &log).await.map_err(|e| format!("listen: {listen}: {e}"))?)
-            }
+            Some(_) => Some(tokio::select! {
+                begun = upgrade::begin(listen, &log) => begun.map_err(|e| format!("listen: {listen}: {e}"))?,
+                () = signals.come() => return Ok(()), // nothing was taken yet
+            }),
             None => None,
         };
         let (listener, path, given) = match begun {
@@ -289,7 +291,7 @@
         actix_rt::spawn(reload::on_signal(hang_up, origin, adopt, log.clone()));
         let front = actix_rt::spawn(listen::serve(listener, gate.clone()));
         let leave = || beside.as_ref().is_some_and(Handover::leave);
-        shutdown::on_signal(gate, times, leave, log.clone()).await?;
+        shutdown::on_signal(signals, gate, times, leave, log.clone()).await;
         front.abort();
         info!(log, "stopped"; "long_bodies_peak" => budget.peak(), "of" => bodies);
         Ok::<_, Box<dyn std::error::Error>>(())
--- a/crates/proxy/src/clients/tests.rs
+++ b/crates/proxy/src/clients/tests.rs
@@ -1,7 +1,18 @@
 use super::*;
 
+fn is_ending(client: &Client) -> bool {
+    client.ending.get() != Ending::No
+}
+
 fn gone(all: &[&Rc<Client>]) -> Vec<bool> {
-    all.iter().map(|client| client.cut.get()).collect()
+    all.iter().map(|client| is_ending(client)).collect()
+}
+
+/// Makes room once, and has whoever is to go close at once.
+fn make_room(clients: &Clients, all: &[&Rc<Client>], now: Instant) {
+    clients.make_room_at(now);
+    let closing = |client: &&&Rc<Client>| matches!(client.state.get(), State::Closing(_));
+    all.iter().filter(closing).for_each(|client| clients.leave(client));
 }
 
 /// When one that has sent nothing came: however long a test takes to set up, it is as old as it says.
@@ -17,25 +28,25 @@
     slow.came();
     let silent = [0; 3].map(|_| clients.enter());
     let idle = clients.enter();
-    idle.in_work();
+    idle.in_flight(true);
     idle.idles();
     let all = [&slow, &idle, &silent[0], &silent[1], &silent[2]];
     let now = came_at(&silent[0]);
     // Nobody is cut off who has just come, but for one that lies idle.
-    clients.make_room_at(now);
-    clients.make_room_at(now);
+    make_room(&clients, &all, now);
+    make_room(&clients, &all, now);
     assert_eq!(gone(&all), [false, true, false, false, false]);
     // Then those that have sent nothing, oldest first; and only then who has sent a part.
     let later = now + Duration::from_millis(100);
     slow.came();
-    clients.make_room_at(now + Duration::from_millis(10));
+    make_room(&clients, &all, now + Duration::from_millis(10));
     assert_eq!(gone(&all), [false, true, false, false, false]);
     for (n, _) in silent.iter().enumerate() {
-        clients.make_room_at(later);
-        assert!(silent[n].cut.get() && !slow.cut.get());
+        make_room(&clients, &all, later);
+        assert!(is_ending(&silent[n]) && !is_ending(&slow));
     }
-    clients.make_room_at(later);
-    assert!(slow.cut.get(), "there is nobody else");
+    make_room(&clients, &all, later);
+    assert!(is_ending(&slow), "there is nobody else");
 }
 
 #[test]
@@ -44,7 +55,7 @@
     let (visitor, caller, other) = (clients.enter(), clients.enter(), clients.enter());
     for client in [&caller, &other] {
         client.uploads();
-        client.in_work();
+        client.in_flight(true);
     }
     [&visitor, &caller, &other].into_iter().for_each(Client::idles);
     let stalled = clients.enter();
@@ -53,18 +64,91 @@
     let now = came_at(&silent);
     let all = [&visitor, &caller, &other, &stalled, &silent];
     // Whoever only looked in goes first; then, in service, the idle one whose client can come again.
-    clients.make_room_at(now);
+    make_room(&clients, &all, now);
     assert_eq!(gone(&all), [true, false, false, false, false]);
-    clients.make_room_at(now);
+    make_room(&clients, &all, now);
     assert_eq!(gone(&all), [true, true, false, false, false]);
     // Not so once the proxy is leaving, nor while those that send nothing have just come.
     clients.hold_idle();
-    clients.make_room_at(now);
+    make_room(&clients, &all, now);
     assert_eq!(gone(&all), [true, true, false, false, false]);
     let later = now + Duration::from_millis(1100);
-    clients.make_room_at(later);
-    clients.make_room_at(later);
+    make_room(&clients, &all, later);
+    make_room(&clients, &all, later);
     assert_eq!(gone(&all), [true, true, false, true, true]);
-    clients.make_room_at(later);
-    assert!(other.cut.get(), "there is nobody else");
+    make_room(&clients, &all, later);
+    assert!(is_ending(&other), "there is nobody else");
+}
+
+#[test]
+fn one_that_is_being_closed_and_had_time_to_read_its_answer_goes_before_all_others() {
+    let clients: Rc<Clients> = Rc::default();
+    let (idle, refused) = (clients.enter(), clients.enter());
+    idle.in_flight(true);
+    idle.idles();
+    refused.turned_away();
+    let State::Closing((since, _)) = refused.state.get() else { panic!("it is being closed") };
+    let over = |client: &Client| client.is_given_up();
+    clients.make_room_at(since + FRESH - Duration::from_millis(1));
+    assert!(is_ending(&idle) && !over(&refused));
+    clients.make_room_at(since + FRESH);
+    assert!(over(&refused) && refused.state.get() == State::Gone);
+    // Nothing brings it back.
+    refused.came();
+    refused.idles();
+    assert!(over(&refused) && refused.state.get() == State::Gone);
+    assert_eq!(clients.open(), 2, "until its descriptor is closed");
+}
+
+#[test]
+fn one_whose_time_is_up_is_kept_if_its_request_has_come_and_only_then() {
+    let clients: Rc<Clients> = Rc::default();
+    let (idle, silent, partial) = (clients.enter(), clients.enter(), clients.enter());
+    idle.in_flight(true);
+    idle.idles();
+    partial.came();
+    let State::Silent(owed) = silent.state.get() else { panic!("it has sent nothing") };
+    clients.expire_at(Instant::now() + IDLE);
+    assert_eq!([&idle, &silent].map(|c| c.ending.get()), [Ending::Unless(None), Ending::Unless(Some(owed))]);
+    assert!(partial.is_ending(), "who sends a byte now and then is not looked at");
+    [&idle, &silent].into_iter().for_each(Client::came);
+    assert!(!is_ending(&idle) && matches!(idle.state.get(), State::Partial(..)));
+    // For its head it has no more time than it had.
+    assert!(!is_ending(&silent) && matches!(silent.state.get(), State::Partial(since, _) if since == owed));
+    clients.expire_at(owed.0 + HEAD);
+    assert!(silent.is_ending() && silent.close.get().is_some());
+}
+
+#[test]
+fn who_takes_nothing_of_its_last_answer_is_given_up_and_who_takes_some_is_not() {
+    let clients: Rc<Clients> = Rc::default();
+    let (takes, rests) = (clients.enter(), clients.enter());
+    [&takes, &rests].into_iter().for_each(Client::turned_away);
+    let State::Closing((began, _)) = rests.state.get() else { panic!("it is being closed") };
+    let flush = |client: &Client| match client.next_step(began) {
+        Step::Flush { until } => until,
+        step => panic!("{step:?}"),
+    };
+    while flush(&takes) <= flush(&rests) {
+        takes.close_after(Event::Wrote); // until the clock has moved on
+    }
+    clients.expire_at(flush(&rests));
+    assert_eq!(
+        [&takes, &rests].map(|client| client.is_given_up() || client.state.get() == State::Gone),
+        [false, true]
+    );
+}
+
+#[test]
+fn where_all_are_to_end_a_first_request_is_waited_for_as_long_as_an_ordinary_client_needs() {
+    let clients: Rc<Clients> = Rc::default();
+    let silent = clients.enter();
+    let since = came_at(&silent);
+    clients.expire_at(since + SLOW);
+    assert!(!is_ending(&silent));
+    clients.retire();
+    clients.expire_at(since + SLOW - Duration::from_millis(1));
+    assert!(!is_ending(&silent));
+    clients.expire_at(since + SLOW);
+    assert!(is_ending(&silent) && !silent.is_ending(), "after a last look");
 }
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -1,8 +1,8 @@
 //! The clients' side: accepts connections, speaks HTTP on them, and takes each request through the stages.
 
 use crate::bodies::{Budget, Download};
-use crate::call::{AnswerBody, Call, Verdict};
-use crate::clients::{Client, Clients, Reader};
+use crate::call::{AnswerBody, Body, Call, Verdict};
+use crate::clients::{Client, Clients, Connection, Stream};
 use crate::config::Sockets;
 use crate::latency::LatencyEstimate;
 use crate::platform::client;
@@ -10,7 +10,6 @@
 use crate::stages::choose::Routes;
 use crate::stages::{intake, relay};
 use crate::stats::{Ended, Stats, Taken};
-use crate::wire::Wire;
 use actix_http::{ConnectionType, Extensions, HttpService, KeepAlive, Request, Response};
 use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
 use olivecart_settings::Site;
@@ -32,7 +31,7 @@
 /// Longest wait for such a one to end before another is chosen.
 const ANOTHER: Duration = Duration::from_millis(5);
 /// How often it is seen whose time is up.
-const WATCHED: Duration = Duration::from_millis(100);
+const TIMEOUTS: Duration = Duration::from_millis(100);
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
 
@@ -49,7 +48,8 @@
     latency: Cell<LatencyEstimate>,
     /// Once an end is planned: by when all must be answered.
     leaving: Cell<Option<Instant>>,
-    closing: watch::Sender<bool>,
+    /// Answers are the last on their connections.
+    closing: Cell<bool>,
     /// Connections are accepted, and not left to another process.
     accepting: watch::Sender<bool>,
     /// The memory for long bodies.
@@ -69,8 +69,7 @@
         stats: Option<Arc<Stats>>,
     ) -> Gate {
         let (clients, last_taken, latency) = (Rc::default(), Cell::new(Instant::now()), Cell::default());
-        let (closing, accepting, leaving) =
-            (watch::channel(false).0, watch::channel(true).0, Cell::new(None));
+        let (closing, accepting, leaving) = (Cell::new(false), watch::channel(true).0, Cell::new(None));
         let sockets = Cell::new(sockets);
         Gate {
             routes,
@@ -89,8 +88,8 @@
     }
 
     /// Sees to it that there are descriptors for one more connection. Danger: they run out, and with them
-    /// the way to the backends; or clients that send nothing keep out those that do. Only where all are in
-    /// work must who comes now wait in the listener's queue.
+    /// the way to the backends; or clients that send nothing keep out those that do. Only where all have a
+    /// request in flight must who comes now wait in the listener's queue.
     async fn make_room(&self) {
         while self.clients.open() >= self.sockets.get().clients + OVER_SHARE {
             self.clients.make_room();
@@ -121,9 +120,11 @@
         self.routes.any_takes_requests() && self.leaving.get().is_none()
     }
 
-    /// Answers carry `Connection: close` from now on, and idle connections are closed.
+    /// Answers carry `Connection: close` from now on, and idle connections are closed, each after a last look for a
+    /// request on it. Danger: the HTTP library's own graceful shutdown drops a request that it has just read.
     pub fn close(&self) {
-        self.closing.send_replace(true);
+        self.closing.set(true);
+        self.retire();
     }
 
     /// Accepts connections from now on; or leaves them to the process that serves in this one's place, and answers
@@ -151,6 +152,11 @@
     pub fn connections(&self) -> usize {
         self.clients.open()
     }
+
+    /// Those of them with a request in flight.
+    pub fn in_flight(&self) -> usize {
+        self.clients.in_flight()
+    }
 }
 
 /// Listens on the one address that the configuration names; with others, if it is `shared`.
@@ -166,24 +172,22 @@
 
 /// Accepts connections for good.
 pub async fn serve(listener: TcpListener, gate: Rc<Gate>) {
-    let (handler_gate, closing) = (gate.clone(), gate.closing.subscribe());
+    let handler_gate = gate.clone();
     let mut accepting = gate.accepting.subscribe();
-    // Times are kept in clients.rs: actix-http has one for the head of a first request only.
+    // Timeouts are enforced in clients.rs: actix-http has one for the head of a first request only. The close is
+    // clients/stream.rs's: actix-http drops a connection after what is no request, unread bytes or not, and elsewhere
+    // reads on for its disconnect timeout without shutting its side.
     let service = HttpService::build()
         .keep_alive(KeepAlive::Os)
         .client_request_timeout(Duration::ZERO)
-        .client_disconnect_timeout(Duration::from_secs(1))
-        .graceful_shutdown_signal(move || {
-            let mut closing = closing.clone();
-            async move { _ = closing.wait_for(|closing| *closing).await }
-        })
-        .on_connect_ext(|io: &Wire<Reader>, data: &mut Extensions| _ = data.insert(io.tap.0.clone()))
+        .client_disconnect_timeout(Duration::ZERO)
+        .on_connect_ext(|io: &Stream, data: &mut Extensions| _ = data.insert(io.0.client().clone()))
         .h1(fn_service(move |request: Request| handle(handler_gate.clone(), request)).into_factory());
     let Ok(service) = service.new_service(()).await else {
         return warn!(gate.log, "the HTTP service did not start");
     };
     let service = Rc::new(service);
-    actix_rt::spawn(keep_time(gate.clients.clone()));
+    actix_rt::spawn(enforce_timeouts(gate.clients.clone()));
     loop {
         if accepting.wait_for(|accepting| *accepting).await.is_err() {
             return; // the gate is gone
@@ -205,19 +209,22 @@
         };
         let client = gate.clients.enter();
         let _ = stream.set_nodelay(true);
-        let io = Wire { stream, tap: Rc::new(Reader(client.clone())) };
+        let connection = Rc::new(Connection::new(stream, client.clone()));
         let (service, gate) = (service.clone(), gate.clone());
         actix_rt::spawn(async move {
-            if let Err(e) = service.call((io, Some(peer))).await {
-                debug!(gate.log, "connection ended"; "error" => %e);
+            let serving = service.call((Stream(connection.clone()), Some(peer)));
+            if let Err(e) = connection.serve(serving).await {
+                debug!(gate.log, "connection ended"; "peer" => %peer, "error" => %e);
             }
+            connection.close().await;
+            drop(connection); // its descriptor is free before it counts as such
             gate.clients.leave(&client);
         });
     }
 }
 
-async fn keep_time(clients: Rc<Clients>) {
-    let mut every = tokio::time::interval(WATCHED);
+async fn enforce_timeouts(clients: Rc<Clients>) {
+    let mut every = tokio::time::interval(TIMEOUTS);
     loop {
         every.tick().await;
         clients.expire();
@@ -228,6 +235,10 @@
     let Some(client) = request.conn_data::<Rc<Client>>().cloned() else {
         return Ok(client::held(client::refusal(Duration::ZERO))); // on_connect_ext leaves none without
     };
+    if client.is_ending() {
+        // What was sent behind the request that the last answer is for: its client can't take this for another's.
+        return Ok(client::held(client::crowded()));
+    }
     let response = match request.path() {
         client::READY => Ok(client::held(client::health(gate.is_ready()))),
         client::LIVE => Ok(client::held(client::health(true))),
@@ -235,11 +246,14 @@
     };
     match response {
         Ok(mut response) => {
-            if !*gate.accepting.borrow() {
+            if gate.closing.get() || !*gate.accepting.borrow() || client.is_ending() {
                 response.head_mut().set_connection_type(ConnectionType::Close);
             }
-            let work = InWork(client); // until the last byte of a long answer
-            Ok(kept_open(response, work))
+            if response.head().connection_type() == ConnectionType::Close {
+                client.last_answer();
+            }
+            let in_flight = InFlight(client); // until the last byte of a long answer
+            Ok(kept_open(response, in_flight))
         }
         Err(reject) => {
             client.turned_away();
@@ -301,10 +315,10 @@
     })
 }
 
-/// Keeps a client's connection in work while it lives.
-struct InWork(Rc<Client>);
+/// A client's request is in flight while it lives.
+struct InFlight(Rc<Client>);
 
-impl Drop for InWork {
+impl Drop for InFlight {
     fn drop(&mut self) {
         self.0.idles();
     }
@@ -318,10 +332,13 @@
 ) -> Result<Response<AnswerBody>, client::Reject> {
     // Danger: an end that comes before the answer, which is then lost.
     call.deadline = gate.leaving.get().map_or(call.deadline, |by| call.deadline.min(by));
-    client.in_work();
-    if gate.clients.in_work() > gate.sockets.get().clients {
+    client.in_flight(matches!(call.payload.body, Body::Whole { .. }));
+    if gate.clients.in_flight() > gate.sockets.get().clients {
         return Ok(client::held(client::crowded()));
     }
+    if client.has_gone() {
+        return Ok(client::answer(Verdict::Failed)); // nobody reads it
+    }
     let context = match gate.routes.choose(|| client::traits(&call)) {
         Ok(context) => context,
         Err(absent) => return Ok(client::held(client::absent(&absent))),
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -11,6 +11,7 @@
 mod cli;
 mod clients;
 mod clock;
+mod closing;
 mod clusters;
 mod config;
 mod config_tool;
--- a/crates/proxy/src/shutdown/tests.rs
+++ b/crates/proxy/src/shutdown/tests.rs
@@ -24,6 +24,7 @@
     for (deadline, killed) in [(6000, 3700), (3000, 3700), (1000, 1700), (200, 900), (0, 700)] {
         let times = Times::new(ms(deadline));
         assert_eq!(times.all_answered + MARGIN, ms(killed));
+        assert!(times.all_answered < times.closed && times.closed < ms(killed));
         assert!(!times.takes_more(times.all_answered - times.least_left, ms(0), Some(ms(1))));
         assert!(times.takes_more(ms(0), ms(9000), None) && times.moving < times.all_answered);
     }
--- a/crates/proxy/src/sidecar/mod.rs
+++ b/crates/proxy/src/sidecar/mod.rs
@@ -32,6 +32,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
+use std::time::Instant;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::Receiver;
 
@@ -135,6 +136,8 @@
             error,
         })
     };
+    // Danger: unregistered, a signal ends the program and all that it had taken.
+    let (hang_up, mut signals) = (reload::register()?, shutdown::Signals::register()?);
     // All addresses before anything runs: a sidecar serves whole or not at all.
     let admin = proxy.admin.as_ref().map(|admin| bind("admin", admin.listen)).transpose()?;
     let mut sides = Vec::new();
@@ -204,8 +207,6 @@
     for side in sides.into_iter().chain(inbound) {
         actix_rt::spawn(listen::serve(side.listener, side.gate));
     }
-    // Danger: unregistered, the signal ends the program and all that it had taken.
-    let hang_up = reload::register()?;
     let live = Live {
         path: path.to_owned(),
         environment: environment.clone(),
@@ -215,14 +216,17 @@
         log: log.clone(),
     };
     actix_rt::spawn(live.follow(hang_up));
-    shutdown::asked(&sidecar.leave).await?;
+    tokio::select! {
+        () = signals.come() => {}
+        () = sidecar.leave.notified() => {}
+    }
     sidecar.leaving.set(true);
     // The application still calls others for what it has taken: outbound outlives inbound.
     if let Some(gate) = before {
         shutdown::drain(&[gate], shutdown::Times::default(), &log).await;
     }
     info!(log, "inbound has ended");
-    shutdown::end(&gates, &log).await;
+    shutdown::end(&gates, Instant::now() + shutdown::LONGEST, &log).await;
     Ok(())
 }
 
--- a/crates/proxy/src/wire.rs
+++ b/crates/proxy/src/wire.rs
@@ -1,9 +1,8 @@
-//! A TCP stream with somebody at its reading end, on either side of the proxy.
+//! A TCP stream to a backend or to discovery, with somebody at its reading end.
 //!
-//! Towards backends: awc takes an interim answer for the final one, drops what came behind an answer and uses
+//! awc takes an interim answer for the final one, drops what came behind an answer and uses
 //! the connection again, and tells neither whether a connection had come up nor a whole body from one that was
-//! cut off (`answer.rs`). Towards clients: actix-http goes on with a request whose client has closed, and
-//! has no limit on the time of a request but the first (`clients.rs`).
+//! cut off (`answer.rs`). The clients' side is `clients/stream.rs`.
 
 use actix_rt::net::{ActixStream, Ready};
 use std::io;
