Save up a rare request's call where the only endpoint is cold

Seen: tests/console.rs one_out_by_hand_... failed after the cold ramp: the one endpoint left was put back by hand, counts as cold, and its request was held for a minute and never sent. Cause: logic.rs cold_budget_allows() let what was not used go by whole calls; with few calls the budget passes through its usable part while nobody asks, again and again. Beside warm endpoints that is what keeps the sum; where none is warm a call is now saved up as before.

--- a/crates/decisions/src/logic.rs
+++ b/crates/decisions/src/logic.rs
@@ -399,12 +399,13 @@
         let part = (self.endpoints[slot].entry.size / size).min(1.0 / count);
         let ordinary = if count > 0.0 { seen / RATE_SPAN * part } else { sent };
         let rate = ordinary * self.warmth(&self.endpoints[slot]) * rules.fall_multiple * COLD_SHARE;
-        let (heavy, e) = ((work / unit - 1.0).max(0.0), &mut self.endpoints[slot]);
-        let most = rate * rules.fall as f64 * SAVED_SHARE + if count > 0.0 { 0.0 } else { heavy };
+        let (heavy, window) = ((work / unit - 1.0).max(0.0), rate * rules.fall as f64);
+        let e = &mut self.endpoints[slot];
+        let most = if count > 0.0 { window * SAVED_SHARE } else { 1.5 * window.max(1.0 + heavy) - 1.0 };
         (e.budget, e.topped) = (e.budget + rate * now.saturating_sub(e.topped) as f64, now);
-        // Danger: thirty copies with a call saved up each send them at the same moment. What is not used in
-        // time goes by whole calls: the fraction stays, never rounded up, and the copies stay out of step.
-        e.budget -= (e.budget - most).ceil().max(0.0);
+        // Danger: thirty copies with a call saved up each send them in one moment. Beside warm ones what is not
+        // used goes by whole calls, never rounded up; where none is warm, a rare call would not find its time.
+        e.budget -= if count > 0.0 { (e.budget - most).ceil() } else { e.budget - most }.max(0.0);
         e.budget >= heavy
     }
 
@@ -436,10 +437,9 @@
         if let Some(slot) = target {
             let overdue = self.overdue(&request, request.tries.len());
             let (e, start_by) = (&mut self.endpoints[slot], permit.until.min(request.deadline));
-            e.in_flight += 1;
+            (e.in_flight, e.trial_at) = (e.in_flight + 1, now + overdue);
             (e.peak, e.opened) = (e.peak.max(e.in_flight), e.opened.max(e.in_flight));
             e.budget -= request.work / unit;
-            e.trial_at = now + overdue;
             out.push(Action::Send { request: id, endpoint: e.entry.id, cap: 0, start_by });
             request.tries.push(Try { slot, sent: now, done: None });
             self.held.remove(&id);
--- a/crates/decisions/tests/failures.rs
+++ b/crates/decisions/tests/failures.rs
@@ -434,3 +434,40 @@
     let later = called_off(&mut b, 200, 900 * MS);
     assert!(later <= 2, "{later} of 25 slow ones called off");
 }
+
+#[test]
+fn where_the_only_endpoint_is_cold_a_rare_request_is_sent_once_its_call_is_saved_up() {
+    let sent_of = |every: Nanos| {
+        let entries = list(1);
+        let mut b = Bench::new(settings(Effect::Repeatable), entries.clone());
+        for _ in 0..20 {
+            b.now += 100 * MS;
+            b.serve(50 * MS);
+        }
+        b.list(ListChange::Delta(vec![Entry { started: Some(b.now), ..entries[0].clone() }]));
+        let mut sent_in_all = 0;
+        for _ in 0..30 {
+            b.now += every;
+            let (id, mut actions) = b.request(5 * S);
+            let began = b.now;
+            // Held, it is looked at again when it asked to be.
+            while sent(&actions).is_none() && !shed(&actions) {
+                let due = timers(&actions).into_iter().find(|(_, t)| *t == Timer::Request(id));
+                let (at, timer) = due.expect("it waits for something");
+                b.now = at;
+                actions = b.tell(Event::Timer(timer));
+            }
+            if sent(&actions).is_some() {
+                b.now += 50 * MS;
+                b.end(id, 0, entries[0].id, Outcome::Ok, 50 * MS);
+                sent_in_all += 1;
+            }
+            b.now = b.now.max(began);
+        }
+        sent_in_all
+    };
+    for every in [100 * MS, 700 * MS, 2 * S] {
+        let sent = sent_of(every);
+        assert!(sent >= 15, "one every {} ms: {sent} of 30", every / MS);
+    }
+}
