--- a/crates/proxy/src/stages/gate/tests.rs
+++ b/crates/proxy/src/stages/gate/tests.rs
@@ -43,7 +43,8 @@
 fn gate(context: &Rc<Context>, request: RequestId, start_by: Instant) -> WriteGate {
     let (attempt, _) = context.book.attempt(request, start_by);
     let lease = context.backends.lease(ENDPOINT).expect("it is listed");
-    WriteGate::new(context, &attempt.ok().expect("it is open"), lease.target)
+    let Ok(attempt) = attempt else { panic!("it is open") };
+    WriteGate::new(context, &attempt, lease.target)
 }
 
 #[test]
