--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -104,7 +104,7 @@
             overlay: RefCell::new(Overlay::restored(&shared.by_hand.0, &shared.by_hand.1)),
             version: Cell::new(0),
             balancer: RefCell::new(Balancer::new(settings, seed, shared.clock.now())),
-            discovery: discovery.map(|at| Discovery::new(at, this.clone(), log.clone())),
+            discovery: discovery.map(|at| Discovery::new(at, this.clone(), seed, log.clone())),
             events: RefCell::default(),
             running: Cell::new(false),
             timers: RefCell::default(),
@@ -276,7 +276,9 @@
         trace::action(&self.log, &action);
         let Context { book, backends, .. } = &*self.context;
         match action {
-            Action::Send { request, endpoint, cap } => route::route(&self.context, request, endpoint, cap),
+            Action::Send { request, endpoint, cap, start_by } => {
+                route::route(&self.context, request, endpoint, cap, self.shared.clock.instant(start_by));
+            }
             Action::Cancel { request, attempt } => book.cancel(request, attempt),
             Action::Shed { request, come_back } => {
                 let come_back = Duration::from_nanos(come_back);
@@ -371,10 +373,6 @@
     fn news(&self, news: News<'_>) {
         self.list(&news, if news.full { ListChange::Full } else { ListChange::Delta });
     }
-
-    fn failed(&self) {
-        self.tell(Event::List(ListChange::Failed));
-    }
 }
 
 /// An endpoint in the module's numbers; what is new gets one.
@@ -391,20 +389,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn endpoints_are_numbered_by_name_in_the_order_they_are_heard_of() {
-        let settings =
-            r#"{"grades":[{"name":"v","aim-ns":1,"give-up-ns":2,"effect":"repeatable"}],"dcs":["z"]}"#;
-        let mut site = Site::read(settings).expect("settings");
-        let text = br#"{"version":43,"servers":[{"id":"s","state":"gone","zone":"y","started_ms":7},
-            {"id":"t","state":"gone","zone":"z"},{"id":"s","state":"gone","zone":"y"}]}"#;
-        let news = registry::read(text).expect("a change");
-        let entries: Vec<_> = news.endpoints.iter().map(|e| numbered(&mut site, e)).collect();
-        let numbers: Vec<_> = entries.iter().map(|e| (e.id.0, &*e.name, e.zone.0)).collect();
-        assert_eq!(numbers, [(0, "s", 1), (1, "t", 0), (0, "s", 1)], "zone z is 0 by the settings");
-        assert_eq!((entries[0].started, entries[1].started), (Some(7_000_000), None));
-    }
-}
+mod tests;
--- a/crates/proxy/src/wire.rs
+++ b/crates/proxy/src/wire.rs
@@ -1,9 +1,8 @@
-//! A TCP stream with somebody at its reading end, on either side of the proxy.
+//! A TCP stream to a backend or to discovery, with somebody at its reading end.
 //!
-//! Towards backends: awc takes an interim answer for the final one, drops what came behind an answer and uses
+//! awc takes an interim answer for the final one, drops what came behind an answer and uses
 //! the connection again, and tells neither whether a connection had come up nor a whole body from one that was
-//! cut off (`answer.rs`). Towards clients: actix-http goes on with a request whose client has closed, and
-//! has no limit on the time of a request but the first (`clients.rs`).
+//! cut off (`answer.rs`). The clients' side is `clients/stream.rs`.
 
 use actix_rt::net::{ActixStream, Ready};
 use std::io;
@@ -24,7 +23,12 @@
     ) -> Poll<io::Result<()>>;
 
     /// Something is about to be written.
-    fn writes(&self) {}
+    ///
+    /// # Errors
+    /// It must not be.
+    fn writes(&self) -> io::Result<()> {
+        Ok(())
+    }
 }
 
 /// The stream.
@@ -49,7 +53,9 @@
 
 impl<T: Tap> AsyncWrite for Wire<T> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        self.tap.writes();
+        if let Err(closed) = self.tap.writes() {
+            return Poll::Ready(Err(closed));
+        }
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
