End a row of failed calls to discovery with a watch that lasted 0.8 s

At fault: the row of failures ended only with a watch that lasted 2.7 s (Watch::fails), so that these ends were one more failure in it and waited for a turn.

--- a/crates/proxy/src/discovery/watch.rs
+++ b/crates/proxy/src/discovery/watch.rs
@@ -232,11 +232,11 @@
         Action::Call(self.call)
     }
 
-    /// Danger: an answer that begins well and breaks off at once, each time. Only one that went on for as long as the
-    /// longest wait ends the row of failures.
+    /// Danger: an answer that begins well and breaks off at once, each time. Only one that went on for as long as the first
+    /// wait ends the row of failures.
     fn fails(&mut self, now: Duration) {
         if let State::Open { since, .. } = self.state
-            && now >= since + ms(RETRY)
+            && now >= since + ms(FIRST_RETRY)
         {
             self.failures = 0;
         }
