--- a/crates/decisions/src/logic.rs
+++ b/crates/decisions/src/logic.rs
@@ -403,8 +403,8 @@
         let e = &mut self.endpoints[slot];
         let most = if count > 0.0 { window * SAVED_SHARE } else { 1.5 * window.max(1.0 + heavy) - 1.0 };
         (e.budget, e.topped) = (e.budget + rate * now.saturating_sub(e.topped) as f64, now);
-        // Danger: thirty copies with a call saved up each send them at once. Beside warm ones what is not used
-        // goes by whole calls, never rounded up; where none is warm, a rare call would not find its time.
+        // Danger: thirty copies with a call saved up each send them at once. Beside warm ones, what is left
+        // unused goes by whole calls, never rounded up; where none is warm, a rare call would wait in vain.
         e.budget -= if count > 0.0 { (e.budget - most).ceil() } else { e.budget - most }.max(0.0);
         e.budget >= heavy
     }
