--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -391,9 +391,21 @@
 
 /// Writes a configuration file as a whole, in place of the one before.
 pub fn write_config(path: &Path, listen: SocketAddr, discovery: SocketAddr, known: &str) {
+    write_config_with(path, listen, discovery, known, 192, 1024);
+}
+
+/// The same with other limits.
+pub fn write_config_with(
+    path: &Path,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    known: &str,
+    memory_mb: u64,
+    sockets: usize,
+) {
     let text = format!(
         r#"{{"name":"n1","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
-"limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{known},"settings":{SETTINGS}}}"#
+"limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},"known":{known},"settings":{SETTINGS}}}"#
     );
     let beside = path.with_extension("new");
     std::fs::write(&beside, text).expect("the configuration can be written");
@@ -453,6 +465,10 @@
         note!("proxy {} is ready", self.child.id());
     }
 
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, signal: i32) {
         note!("signal {signal} to proxy {}", self.child.id());
         unsafe { kill(self.child.id() as i32, signal) };
