Review case 1: play it with the settings and the network of one deployment

Change: settings, classes, load and link are those of dakar-transferts. The stand-ins take the settings; cases 2 and 3 play as before.

--- a/review/standins/src/bin/foreign.rs
+++ b/review/standins/src/bin/foreign.rs
@@ -9,15 +9,20 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// One way between the proxy and a backend of another zone: 2.8 to 5.2 ms (`cross_ms` of dakar-transferts).
+/// One way between the proxy and the backends, which are in another zone: 2.8 to 5.2 ms (`cross_ms`).
 const LINK_DELAY: Duration = Duration::from_millis(4);
 /// "A second answer may come some milliseconds late."
 const SECOND_COPY_AFTER: Duration = Duration::from_millis(3);
-/// One answer in so many has a second copy.
+/// One answer in so many has a second copy, unless another request waits.
 const ONE_IN: u64 = 20;
-const WORK: Duration = Duration::from_millis(20);
-const CLIENTS: usize = 4;
-const PLAY: Duration = Duration::from_secs(12);
+const SERVERS: usize = 10;
+/// The work of the first tier: 43% of 220 to 390 ms and of 99 to 170 ms.
+const LOOKUP_MS: std::ops::Range<u64> = 95..168;
+const PAYMENT_MS: std::ops::Range<u64> = 43..73;
+const CLIENTS: usize = 24;
+/// The mean time from an answer to the next request of a client.
+const THINK_MS: f64 = 20.0;
+const PLAY: Duration = Duration::from_secs(20);
 
 #[derive(Default)]
 struct Counts {
@@ -27,18 +32,19 @@
 }
 
 /// What the backends answered 200 to, by request id.
-type Made = Arc<Mutex<BTreeMap<String, Vec<u8>>>>;
+type Made = Arc<Mutex<BTreeMap<String, Vec<Vec<u8>>>>>;
 
 fn serve_backend(name: &str, stream: TcpStream, made: &Made, counts: &Counts) -> std::io::Result<()> {
-    let mut peer = Peer::new(stream);
+    let (mut peer, mut random) = (Peer::new(stream), Random::new());
     while let Some(request) = peer.read_message()? {
         let Some(id) = request.header("x-request-id").map(str::to_owned) else {
             peer.write(&answer("200 OK", "", b""))?; // a probe
             continue;
         };
-        thread::sleep(WORK);
-        let body = format!("lessons of request {id}, made by {name}\n").into_bytes();
-        made.lock().unwrap().insert(id.clone(), body.clone());
+        let work = if request.head.starts_with("GET") { LOOKUP_MS } else { PAYMENT_MS };
+        thread::sleep(Duration::from_millis(random.next(work)));
+        let body = format!("answer to {id}, made by {name}\n").into_bytes();
+        made.lock().unwrap().entry(id.clone()).or_default().push(body.clone());
         let bytes = answer("200 OK", "", &body);
         note!("{name}: 200 to {id}");
         peer.write(&bytes)?;
@@ -100,12 +106,12 @@
     let root = root(case);
     let folder = Folder::new();
     let (made, counts): (Made, Arc<Counts>) = Default::default();
-    let servers: Vec<Server> = (0..4)
+    let servers: Vec<Server> = (0..SERVERS)
         .map(|number| {
             let id = format!("s-{number}");
             let (name, made, counts) = (id.clone(), made.clone(), counts.clone());
             let backend = listen(move |stream| _ = serve_backend(&name, stream, &made, &counts));
-            Server { id, addr: link(backend), cell: 0, state: "ready" }
+            Server { id, addr: link(backend), zone: "dakar-almadies", cell: number as u32 / 5, state: "ready" }
         })
         .collect();
     let discovery = Discovery::start("discovery", 1, &servers);
@@ -118,7 +124,7 @@
         log: folder.0.join("proxy.log"),
     };
     std::fs::create_dir_all(&told.folder).expect("a folder");
-    write_config(&told.config, told.listen, told.discovery, &discovery.list());
+    write_config_with(&told.config, told.listen, told.discovery, &discovery.list(), DAKAR_SETTINGS, 192, 1024);
     let mut proxy = Proxy::start(&root, &told);
     proxy.wait_until_ready();
 
@@ -146,10 +152,10 @@
     // A 200 has to be the body of a backend's 200 answer to this request, unchanged.
     let foreign: Vec<_> = answers
         .iter()
-        .filter(|(id, status, body)| *status == 200 && made.get(id) != Some(body))
+        .filter(|(id, status, body)| *status == 200 && !made.get(id).is_some_and(|own| own.contains(body)))
         .collect();
     for (id, _, body) in &foreign {
-        let own = made.get(id).map(|own| String::from_utf8_lossy(own).trim().to_owned());
+        let own: Vec<_> = made.get(id).into_iter().flatten().map(|own| String::from_utf8_lossy(own).trim().to_owned()).collect();
         note!("FOREIGN: {id} was served \"{}\"; made for it: {own:?}", String::from_utf8_lossy(body).trim());
     }
     match foreign.len() {
@@ -159,7 +165,8 @@
 }
 
 fn run_client(client: usize, to: SocketAddr, stop: &AtomicBool, answers: &Mutex<Vec<(String, u16, Vec<u8>)>>) {
-    let mut peer: Option<Peer> = None;
+    let (mut peer, mut random): (Option<Peer>, Random) = (None, Random::new());
+    thread::sleep(random.exponential(THINK_MS));
     for number in 0.. {
         if stop.load(SeqCst) {
             return;
@@ -173,14 +180,14 @@
             }
         };
         let id = format!("c{client}-{number}");
-        let tenant = ["lakeshore", "harbor-tongues"][client % 2];
-        let common = format!("Host: api.internal\r\nX-Request-Id: {id}\r\nX-Tenant: {tenant}\r\nX-Deadline: 2000m\r\n");
-        // A third of the requests are bookings.
+        let tenant = ["caisse-diaspora", "reseau-touba", "mutuelle-kaolack", "agents-casamance"][client % 4];
+        let common = format!("Host: api.internal\r\nX-Request-Id: {id}\r\nX-Tenant: {tenant}\r\nX-Deadline: 1500m\r\n");
+        // A third of the requests are payments.
         let request = match number % 3 {
             0 => format!(
-                "POST /api HTTP/1.1\r\n{common}X-Class: book-lesson\r\nIdempotency-Key: key-{id}\r\nContent-Length: 12\r\n\r\nlesson of {client}\n"
+                "POST /api HTTP/1.1\r\n{common}X-Class: payer\r\nIdempotency-Key: key-{id}\r\nContent-Length: 10\r\n\r\npay {number:06}"
             ),
-            _ => format!("GET /api HTTP/1.1\r\n{common}X-Class: view-schedule\r\n\r\n"),
+            _ => format!("GET /api HTTP/1.1\r\n{common}X-Class: consulter\r\n\r\n"),
         };
         note!("client {client}: sends {id}");
         let answered = open.write(request.as_bytes()).and_then(|()| open.read_message());
@@ -198,7 +205,7 @@
                 answers.lock().unwrap().push((id, 0, Vec::new()));
             }
         }
-        thread::sleep(Duration::from_millis(1));
+        thread::sleep(random.exponential(THINK_MS));
     }
 }
 
--- a/review/standins/src/bin/memory.rs
+++ b/review/standins/src/bin/memory.rs
@@ -69,7 +69,7 @@
         .map(|number| {
             let arrived = arrived.clone();
             let addr = listen(move |stream| _ = serve_backend(stream, &arrived));
-            Server { id: format!("s-{number}"), addr, cell: number / 4, state: "ready" }
+            Server { id: format!("s-{number}"), addr, zone: "duluth-room", cell: number / 4, state: "ready" }
         })
         .collect();
     let discovery = Discovery::start("discovery", 1, &servers);
@@ -82,7 +82,7 @@
         log: folder.0.join("proxy.log"),
     };
     std::fs::create_dir_all(&told.folder).expect("a folder");
-    write_config_with(&told.config, told.listen, told.discovery, &discovery.list(), MEMORY_MB, SOCKETS);
+    write_config_with(&told.config, told.listen, told.discovery, &discovery.list(), SETTINGS, MEMORY_MB, SOCKETS);
     let mut proxy = Proxy::start(&root, &told);
     proxy.wait_until_ready();
     let pid = proxy.pid();
--- a/review/standins/src/bin/shutdown.rs
+++ b/review/standins/src/bin/shutdown.rs
@@ -88,7 +88,7 @@
             let id = format!("s-{number}");
             let (name, hangs) = (id.clone(), hangs.clone());
             let addr = listen(move |stream| _ = serve_backend(&name, stream, &hangs[number]));
-            Server { id, addr, cell: 0, state: "ready" }
+            Server { id, addr, zone: "duluth-room", cell: 0, state: "ready" }
         })
         .collect();
     let discovery = Discovery::start("discovery", 1, &servers);
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -208,12 +208,46 @@
     TcpListener::bind("127.0.0.1:0").expect("a free port").local_addr().expect("an address")
 }
 
+/// A small generator (xorshift); each has another start.
+pub struct Random(u64);
+
+impl Random {
+    pub fn new() -> Random {
+        static STARTS: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(0);
+        let start = STARTS.fetch_add(1, std::sync::atomic::Ordering::Relaxed) + 1;
+        Random(start.wrapping_mul(0x9e37_79b9_7f4a_7c15))
+    }
+
+    fn step(&mut self) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        self.0
+    }
+
+    pub fn next(&mut self, range: std::ops::Range<u64>) -> u64 {
+        range.start + self.step() % (range.end - range.start)
+    }
+
+    pub fn exponential(&mut self, mean_ms: f64) -> Duration {
+        let uniform = ((self.step() >> 11) as f64 + 1.0) / (1u64 << 53) as f64;
+        Duration::from_secs_f64(-uniform.ln() * mean_ms / 1e3)
+    }
+}
+
+impl Default for Random {
+    fn default() -> Random {
+        Random::new()
+    }
+}
+
 // Discovery.
 
 #[derive(Clone)]
 pub struct Server {
     pub id: String,
     pub addr: SocketAddr,
+    pub zone: &'static str,
     pub cell: u32,
     pub state: &'static str,
 }
@@ -330,8 +364,8 @@
         .filter(|(server, at)| if whole { server.state != "gone" } else { *at > after })
         .map(|(s, _)| {
             format!(
-                r#"{{"id":"{}","addr":"{}","zone":"duluth-room","kind":"front-std","cell":{},"state":"{}","weight":1.0,"started_ms":0}}"#,
-                s.id, s.addr, s.cell, s.state
+                r#"{{"id":"{}","addr":"{}","zone":"{}","kind":"std","cell":{},"state":"{}","weight":1.0,"started_ms":0}}"#,
+                s.id, s.addr, s.zone, s.cell, s.state
             )
         })
         .collect();
@@ -350,7 +384,19 @@
 "penalties":{"connection":0.08,"cross-zone":0.0,"handshake":0.08,"late-fail":0.03,"moves":0.0,"origin":0.0,"peer":0.0,"probe":0.01,"registry-mode":0.0,"waste":0.05},
 "registry-mode":"subscribe","report":{"names":["cpu","rps"],"source":"answers"},
 "rules":{"cold-ns":18000000000,"cold-share":0.16,"drain-grace-ns":500000000,"fall-multiple":3.0,"fall-ns":3000000000,"grace-to-answer-ns":20000000,"must-ask-in-ns":10000000000},
-"shapes":["front-std"],"stages":["front","booking","records"],"tier":0,"weights":"nominal","worth-by":"request","zone":"duluth-room"}"#;
+"shapes":["std"],"stages":["front","booking","records"],"tier":0,"weights":"nominal","worth-by":"request","zone":"duluth-room"}"#;
+
+/// The settings of `more/mass/other/dakar-transferts.toml`, in the form of the wire page, for a proxy of its first tier.
+pub const DAKAR_SETTINGS: &str = r#"{"accounts":[{"name":"caisse-diaspora","quota-per-s":600.0,"share":0.44},{"name":"reseau-touba","quota-per-s":400.0,"share":0.3},{"name":"mutuelle-kaolack","quota-per-s":200.0,"share":0.14},{"name":"agents-casamance","quota-per-s":160.0,"share":0.12}],
+"allowed":{"connect-timeout-ns":75000000,"cpu-us-per-request":0.0,"cpu-us-per-s":400000,"idle-close-ns":10000000000,"max-attempts":5,"max-retry-after-ns":2500000000,"may-cancel":true,"most-held":20000,"peer-messages":false,"probes":true,"retry-after":true,"second-copies":true,"streams-per-conn":1},
+"callers":{"marks-retry":true},"dcs":["dakar-plateau","dakar-almadies"],"extra":{"passes-deadline":false},"family":"chain",
+"goal":{"whole":0.4,"worst-class":0.2,"worst-tenant":0.3,"worst-window":0.1},
+"grades":[{"aim-ns":2000000000,"effect":"repeatable","give-up-ns":5000000000,"group":"all","late-worth":0.3,"name":"consulter","stream":false,"window-ns":5000000000,"worth":2.0},{"aim-ns":1000000000,"effect":"by_key","give-up-ns":2500000000,"group":"cell","late-worth":0.3,"name":"envoyer","stream":false,"window-ns":4000000000,"worth":5.0},{"aim-ns":800000000,"effect":"by_key","give-up-ns":2000000000,"group":"all","late-worth":0.5,"name":"payer","stream":false,"window-ns":3000000000,"worth":3.0},{"aim-ns":1200000000,"effect":"by_key","give-up-ns":3000000000,"group":"cell","late-worth":0.5,"name":"annuler","stream":false,"window-ns":5000000000,"worth":3.0}],
+"granularity-ns":2000000,"group-size":1,"me":0,"over-share-worth":0.05,
+"penalties":{"connection":0.0,"cross-zone":0.0,"handshake":0.02,"late-fail":0.03,"moves":0.0,"origin":0.0,"peer":0.0,"probe":0.01,"registry-mode":0.005,"waste":0.04},
+"registry-mode":"subscribe","report":{"names":[],"source":"none"},
+"rules":{"cold-ns":8900000000,"cold-share":0.3,"drain-grace-ns":1000000000,"fall-multiple":3.0,"fall-ns":3000000000,"grace-to-answer-ns":20000000,"must-ask-in-ns":6000000000},
+"shapes":["std"],"stages":["guichet","registre"],"tier":0,"weights":"rough","worth-by":"request","zone":"dakar-plateau"}"#;
 
 /// A folder that is removed at the end.
 pub struct Folder(pub PathBuf);
@@ -391,21 +437,22 @@
 
 /// Writes a configuration file as a whole, in place of the one before.
 pub fn write_config(path: &Path, listen: SocketAddr, discovery: SocketAddr, known: &str) {
-    write_config_with(path, listen, discovery, known, 192, 1024);
+    write_config_with(path, listen, discovery, known, SETTINGS, 192, 1024);
 }
 
-/// The same with other limits.
+/// The same with other settings and limits.
 pub fn write_config_with(
     path: &Path,
     listen: SocketAddr,
     discovery: SocketAddr,
     known: &str,
+    settings: &str,
     memory_mb: u64,
     sockets: usize,
 ) {
     let text = format!(
         r#"{{"name":"n1","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
-"limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},"known":{known},"settings":{SETTINGS}}}"#
+"limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},"known":{known},"settings":{settings}}}"#
     );
     let beside = path.with_extension("new");
     std::fs::write(&beside, text).expect("the configuration can be written");
