--- a/review/standins/src/bin/foreign.rs
+++ b/review/standins/src/bin/foreign.rs
@@ -12,7 +12,7 @@
 /// One way between the proxy and the backends, which are in another zone: 2.8 to 5.2 ms (`cross_ms`).
 const LINK_DELAY: Duration = Duration::from_millis(4);
 /// "A second answer may come some milliseconds late."
-const SECOND_COPY_AFTER: Duration = Duration::from_millis(3);
+const SECOND_COPY_AFTER: Duration = Duration::from_millis(7);
 /// One answer in so many has a second copy, unless another request waits.
 const ONE_IN: u64 = 20;
 const SERVERS: usize = 10;
