--- a/review/standins/src/bin/foreign.rs
+++ b/review/standins/src/bin/foreign.rs
@@ -103,34 +103,22 @@
 }
 
 fn play(case: &Path) -> Result<(), String> {
-    let root = root(case);
-    let folder = Folder::new();
     let (made, counts): (Made, Arc<Counts>) = Default::default();
     let servers: Vec<Server> = (0..SERVERS)
         .map(|number| {
             let id = format!("s-{number}");
             let (name, made, counts) = (id.clone(), made.clone(), counts.clone());
             let backend = listen(move |stream| _ = serve_backend(&name, stream, &made, &counts));
-            Server { id, addr: link(backend), zone: "dakar-almadies", cell: number as u32 / 5, state: "ready" }
+            Server { id, addr: link(backend), zone: "dakar-almadies", cell: number as u32 / 5 }
         })
         .collect();
-    let discovery = Discovery::start("discovery", 1, &servers);
-    let told = Told {
-        listen: free_address(),
-        discovery: discovery.address,
-        console: None,
-        config: folder.0.join("config.json"),
-        folder: folder.0.join("tmp"),
-        log: folder.0.join("proxy.log"),
-    };
-    std::fs::create_dir_all(&told.folder).expect("a folder");
-    write_config_with(&told.config, told.listen, told.discovery, &discovery.list(), DAKAR_SETTINGS, 192, 1024);
-    let mut proxy = Proxy::start(&root, &told);
-    proxy.wait_until_ready();
+    let discovery = Discovery::start(&servers);
+    let stated = Stated { settings: DAKAR_SETTINGS, memory_mb: 192, sockets: 1024 };
+    let mut proxy = Proxy::start(case, &discovery, &stated);
 
     let stop = Arc::new(AtomicBool::new(false));
     let answers: Arc<Mutex<Vec<(String, u16, Vec<u8>)>>> = Default::default();
-    let listen = told.listen;
+    let listen = proxy.listen;
     let clients: Vec<_> = (0..CLIENTS)
         .map(|client| {
             let (stop, answers) = (stop.clone(), answers.clone());
@@ -155,16 +143,28 @@
         .filter(|(id, status, body)| *status == 200 && !made.get(id).is_some_and(|own| own.contains(body)))
         .collect();
     for (id, _, body) in &foreign {
-        let own: Vec<_> = made.get(id).into_iter().flatten().map(|own| String::from_utf8_lossy(own).trim().to_owned()).collect();
+        let own: Vec<_> = made
+            .get(id)
+            .into_iter()
+            .flatten()
+            .map(|own| String::from_utf8_lossy(own).trim().to_owned())
+            .collect();
         note!("FOREIGN: {id} was served \"{}\"; made for it: {own:?}", String::from_utf8_lossy(body).trim());
     }
     match foreign.len() {
         0 => Ok(()),
-        n => Err(format!("{n} of {served} served requests got the answer to another one, after {copies} second copies")),
+        n => Err(format!(
+            "{n} of {served} served requests got the answer to another one, after {copies} second copies"
+        )),
     }
 }
 
-fn run_client(client: usize, to: SocketAddr, stop: &AtomicBool, answers: &Mutex<Vec<(String, u16, Vec<u8>)>>) {
+fn run_client(
+    client: usize,
+    to: SocketAddr,
+    stop: &AtomicBool,
+    answers: &Mutex<Vec<(String, u16, Vec<u8>)>>,
+) {
     let (mut peer, mut random): (Option<Peer>, Random) = (None, Random::new());
     thread::sleep(random.exponential(THINK_MS));
     for number in 0.. {
@@ -181,7 +181,9 @@
         };
         let id = format!("c{client}-{number}");
         let tenant = ["caisse-diaspora", "reseau-touba", "mutuelle-kaolack", "agents-casamance"][client % 4];
-        let common = format!("Host: api.internal\r\nX-Request-Id: {id}\r\nX-Tenant: {tenant}\r\nX-Deadline: 1500m\r\n");
+        let common = format!(
+            "Host: api.internal\r\nX-Request-Id: {id}\r\nX-Tenant: {tenant}\r\nX-Deadline: 1500m\r\n"
+        );
         // A third of the requests are payments.
         let request = match number % 3 {
             0 => format!(
--- a/review/standins/src/bin/memory.rs
+++ b/review/standins/src/bin/memory.rs
@@ -62,29 +62,17 @@
 }
 
 fn play(case: &Path) -> Result<(), String> {
-    let root = root(case);
-    let folder = Folder::new();
     let arrived = Arc::new(AtomicUsize::new(0));
     let servers: Vec<Server> = (0..12)
         .map(|number| {
             let arrived = arrived.clone();
             let addr = listen(move |stream| _ = serve_backend(stream, &arrived));
-            Server { id: format!("s-{number}"), addr, zone: "duluth-room", cell: number / 4, state: "ready" }
+            Server { id: format!("s-{number}"), addr, zone: "duluth-room", cell: number / 4 }
         })
         .collect();
-    let discovery = Discovery::start("discovery", 1, &servers);
-    let told = Told {
-        listen: free_address(),
-        discovery: discovery.address,
-        console: None,
-        config: folder.0.join("config.json"),
-        folder: folder.0.join("tmp"),
-        log: folder.0.join("proxy.log"),
-    };
-    std::fs::create_dir_all(&told.folder).expect("a folder");
-    write_config_with(&told.config, told.listen, told.discovery, &discovery.list(), SETTINGS, MEMORY_MB, SOCKETS);
-    let mut proxy = Proxy::start(&root, &told);
-    proxy.wait_until_ready();
+    let discovery = Discovery::start(&servers);
+    let stated = Stated { settings: SETTINGS, memory_mb: MEMORY_MB, sockets: SOCKETS };
+    let mut proxy = Proxy::start(case, &discovery, &stated);
     let pid = proxy.pid();
     note!("at rest the proxy holds {} kB", memory_of(pid).expect("its memory can be read"));
 
@@ -99,7 +87,7 @@
     for client in 0..CLIENTS {
         let (start, body, answers, done, killed) =
             (start.clone(), body.clone(), answers.clone(), done.clone(), killed.clone());
-        let to = told.listen;
+        let to = proxy.listen;
         thread::spawn(move || {
             let mut peer = None;
             for round in 0..ROUNDS {
@@ -119,7 +107,8 @@
     }
     // The platform: it kills the proxy that is over its limit. A megabyte is taken as 1,024 kB.
     let (limit, mut peak, since) = (MEMORY_MB * 1024, 0, Instant::now());
-    while done.load(SeqCst) < CLIENTS && proxy.ended().is_none() && since.elapsed() < Duration::from_secs(60) {
+    while done.load(SeqCst) < CLIENTS && proxy.ended().is_none() && since.elapsed() < Duration::from_secs(60)
+    {
         if let Some(held) = memory_of(pid) {
             peak = peak.max(held);
             if held > limit {
@@ -138,12 +127,16 @@
     }
     let of = |status: u16| answers.iter().filter(|(_, r)| *r == Ok(status)).count();
     let without = answers.iter().filter(|(_, r)| r.is_err()).count();
-    note!("peak {peak} kB of {limit} kB; 200: {}, 503: {}, no answer: {without}; arrived at backends: {}",
-        of(200), of(503), arrived.load(SeqCst));
+    note!(
+        "peak {peak} kB of {limit} kB; 200: {}, 503: {}, no answer: {without}; arrived at backends: {}",
+        of(200),
+        of(503),
+        arrived.load(SeqCst)
+    );
     match (end, killed.load(SeqCst)) {
-        (Some(_), true) => {
-            Err(format!("killed for memory ({peak} kB held, limit {limit} kB); {without} requests without an answer"))
-        }
+        (Some(_), true) => Err(format!(
+            "killed for memory ({peak} kB held, limit {limit} kB); {without} requests without an answer"
+        )),
         (Some(end), false) => Err(format!("the proxy has ended by itself: {end}")),
         (None, _) => {
             assert!(done.load(SeqCst) == CLIENTS, "the clients end in time");
--- a/review/standins/src/bin/shutdown.rs
+++ b/review/standins/src/bin/shutdown.rs
@@ -80,36 +80,24 @@
 }
 
 fn play(case: &Path) -> Result<(), String> {
-    let root = root(case);
-    let folder = Folder::new();
     let hangs: Arc<Vec<AtomicBool>> = Arc::new((0..SERVERS).map(|_| AtomicBool::new(false)).collect());
     let servers: Vec<Server> = (0..SERVERS)
         .map(|number| {
             let id = format!("s-{number}");
             let (name, hangs) = (id.clone(), hangs.clone());
             let addr = listen(move |stream| _ = serve_backend(&name, stream, &hangs[number]));
-            Server { id, addr, zone: "duluth-room", cell: 0, state: "ready" }
+            Server { id, addr, zone: "duluth-room", cell: 0 }
         })
         .collect();
-    let discovery = Discovery::start("discovery", 1, &servers);
-    let told = Told {
-        listen: free_address(),
-        discovery: discovery.address,
-        console: None,
-        config: folder.0.join("config.json"),
-        folder: folder.0.join("tmp"),
-        log: folder.0.join("proxy.log"),
-    };
-    std::fs::create_dir_all(&told.folder).expect("a folder");
-    write_config(&told.config, told.listen, told.discovery, &discovery.list());
-    let mut proxy = Proxy::start(&root, &told);
-    proxy.wait_until_ready();
+    let discovery = Discovery::start(&servers);
+    let stated = Stated { settings: SETTINGS, memory_mb: 192, sockets: 1024 };
+    let mut proxy = Proxy::start(case, &discovery, &stated);
 
     let term_at = Instant::now() + Duration::from_millis(1500);
     let sent: Arc<Mutex<Vec<Sent>>> = Default::default();
     let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
-            let (sent, to) = (sent.clone(), told.listen);
+            let (sent, to) = (sent.clone(), proxy.listen);
             thread::spawn(move || {
                 let own = run_client(number, to, term_at);
                 sent.lock().unwrap().push(own);
@@ -155,7 +143,9 @@
     note!("lost: {long} with a long body, {short} with a short one");
     match lost.len() {
         0 => Ok(()),
-        _ => Err(format!("{long} of 8 requests with a long body were never answered, {short} of 8 with a short one")),
+        _ => Err(format!(
+            "{long} of 8 requests with a long body were never answered, {short} of 8 with a short one"
+        )),
     }
 }
 
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -2,14 +2,13 @@
 //!
 //! Everything listens on loopback addresses and free ports. Only the standard library is used.
 
-use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::unix::process::{CommandExt, ExitStatusExt};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::{Arc, Condvar, Mutex, OnceLock};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -19,7 +18,6 @@
     fn ioctl(fd: i32, request: u64, ...) -> i32;
 }
 
-pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 
@@ -30,11 +28,7 @@
 /// Opens `record.txt` in the folder of the case.
 pub fn open_record(case: &Path) {
     let file = File::create(case.join("record.txt")).expect("record.txt can be written");
-    RECORD.set((Instant::now(), Mutex::new(file))).ok().expect("the record is opened once");
-}
-
-pub fn ms_now() -> f64 {
-    RECORD.get().map_or(0.0, |(start, _)| start.elapsed().as_secs_f64() * 1e3)
+    assert!(RECORD.set((Instant::now(), Mutex::new(file))).is_ok(), "the record is opened once");
 }
 
 pub fn record(line: &str) {
@@ -110,7 +104,11 @@
                 return Ok(Some(String::from_utf8_lossy(&head).into_owned()));
             }
             if self.fill()? == 0 {
-                return if self.buffer.is_empty() { Ok(None) } else { Err(io::ErrorKind::UnexpectedEof.into()) };
+                return if self.buffer.is_empty() {
+                    Ok(None)
+                } else {
+                    Err(io::ErrorKind::UnexpectedEof.into())
+                };
             }
         }
     }
@@ -176,7 +174,8 @@
 }
 
 pub fn answer(status: &str, headers: &str, body: &[u8]) -> Vec<u8> {
-    let mut bytes = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n{headers}\r\n", body.len()).into_bytes();
+    let mut bytes =
+        format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n{headers}\r\n", body.len()).into_bytes();
     bytes.extend_from_slice(body);
     bytes
 }
@@ -249,129 +248,51 @@
     pub addr: SocketAddr,
     pub zone: &'static str,
     pub cell: u32,
-    pub state: &'static str,
-}
-
-#[derive(Default)]
-struct Registry {
-    version: u64,
-    /// Each server with the version at which it last changed.
-    servers: BTreeMap<String, (Server, u64)>,
-    /// Takes no new connection.
-    closed: bool,
-    /// Ends the open connections.
-    ended: bool,
 }
 
-/// The discovery service: the whole list, and watches with an empty line every 2 s.
-#[derive(Clone)]
+/// The discovery service: the whole list, and watches with an empty line every 2 s. The list never changes.
 pub struct Discovery {
     pub address: SocketAddr,
-    name: &'static str,
-    registry: Arc<(Mutex<Registry>, Condvar)>,
+    /// The whole list.
+    pub list: String,
 }
 
 impl Discovery {
-    pub fn start(name: &'static str, first_version: u64, servers: &[Server]) -> Discovery {
-        let entries = servers.iter().map(|s| (s.id.clone(), (s.clone(), first_version))).collect();
-        let registry = Registry { version: first_version, servers: entries, ..Registry::default() };
-        let registry = Arc::new((Mutex::new(registry), Condvar::new()));
-        let shared = registry.clone();
-        let address = listen(move |stream| {
-            if !shared.0.lock().unwrap().closed {
-                let _ = Discovery::serve(name, &shared, Peer::new(stream));
-            }
-        });
-        Discovery { address, name, registry }
-    }
-
-    /// Changes the state of a server and tells it on all watches.
-    pub fn set_state(&self, id: &str, state: &'static str) {
-        let (registry, changed) = &*self.registry;
-        let mut registry = registry.lock().unwrap();
-        registry.version += 1;
-        let version = registry.version;
-        if let Some((server, at)) = registry.servers.get_mut(id) {
-            (server.state, *at) = (state, version);
-        }
-        note!("{}: {id} is {state} from version {version} on", self.name);
-        changed.notify_all();
-    }
-
-    /// From now on new connections are closed at once.
-    pub fn close(&self) {
-        self.registry.0.lock().unwrap().closed = true;
-    }
-
-    /// Ends the open connections.
-    pub fn end(&self) {
-        self.registry.0.lock().unwrap().ended = true;
-        self.registry.1.notify_all();
-    }
-
-    pub fn list(&self) -> String {
-        object(&self.registry.0.lock().unwrap(), 0, true)
-    }
-
-    fn serve(name: &str, shared: &(Mutex<Registry>, Condvar), mut peer: Peer) -> io::Result<()> {
-        let (registry, changed) = shared;
+    pub fn start(servers: &[Server]) -> Discovery {
+        let entries: Vec<String> = servers
+            .iter()
+            .map(|s| {
+                format!(
+                    r#"{{"id":"{}","addr":"{}","zone":"{}","kind":"std","cell":{},"state":"ready","weight":1.0,"started_ms":0}}"#,
+                    s.id, s.addr, s.zone, s.cell
+                )
+            })
+            .collect();
+        let list = format!(r#"{{"version":1,"full":true,"servers":[{}]}}"#, entries.join(","));
+        let told = list.clone();
+        let address = listen(move |stream| _ = Discovery::serve(&told, Peer::new(stream)));
+        Discovery { address, list }
+    }
+
+    fn serve(list: &str, mut peer: Peer) -> io::Result<()> {
         while let Some(request) = peer.read_message()? {
-            let target = request.target().to_owned();
-            if !target.contains("watch=1") {
-                let list = object(&registry.lock().unwrap(), 0, true);
-                note!("{name}: whole list told on {target}");
+            note!("discovery: {}", request.target());
+            if !request.target().contains("watch=1") {
                 peer.write(&answer("200 OK", "Content-Type: application/json\r\n", list.as_bytes()))?;
                 continue;
             }
-            let mut told: u64 =
-                target.split("after=").nth(1).and_then(|v| v.split('&').next()?.parse().ok()).unwrap_or(0);
             peer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
-            note!("{name}: watch opened after version {told}");
-            let mut is_first = true;
+            let mut text = format!("{list}\n");
             loop {
-                let text = {
-                    let mut guard = registry.lock().unwrap();
-                    if !is_first && guard.version == told && !guard.ended {
-                        guard = changed.wait_timeout(guard, Duration::from_secs(2)).unwrap().0;
-                    }
-                    if guard.ended {
-                        return Ok(());
-                    }
-                    let text = if guard.version == told && !is_first {
-                        "\n".to_owned()
-                    } else {
-                        let whole = told == 0 || told > guard.version;
-                        let text = object(&guard, told, whole) + "\n";
-                        if guard.version != told {
-                            note!("{name}: watch tells version {}", guard.version);
-                        }
-                        text
-                    };
-                    (told, is_first) = (guard.version, false);
-                    text
-                };
                 peer.write(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
+                text = "\n".into();
+                thread::sleep(Duration::from_secs(2));
             }
         }
         Ok(())
     }
 }
 
-fn object(registry: &Registry, after: u64, whole: bool) -> String {
-    let servers: Vec<String> = registry
-        .servers
-        .values()
-        .filter(|(server, at)| if whole { server.state != "gone" } else { *at > after })
-        .map(|(s, _)| {
-            format!(
-                r#"{{"id":"{}","addr":"{}","zone":"{}","kind":"std","cell":{},"state":"{}","weight":1.0,"started_ms":0}}"#,
-                s.id, s.addr, s.zone, s.cell, s.state
-            )
-        })
-        .collect();
-    format!(r#"{{"version":{},"full":{whole},"servers":[{}]}}"#, registry.version, servers.join(","))
-}
-
 // The proxy.
 
 /// The settings of the wire page's example, for a proxy of the first tier.
@@ -422,50 +343,22 @@
     }
 }
 
-/// What a proxy is told.
-pub struct Told {
-    pub listen: SocketAddr,
-    pub discovery: SocketAddr,
-    pub console: Option<SocketAddr>,
-    /// The configuration file.
-    pub config: PathBuf,
-    /// `$TMPDIR` of the process.
-    pub folder: PathBuf,
-    /// Where its log goes.
-    pub log: PathBuf,
-}
-
-/// Writes a configuration file as a whole, in place of the one before.
-pub fn write_config(path: &Path, listen: SocketAddr, discovery: SocketAddr, known: &str) {
-    write_config_with(path, listen, discovery, known, SETTINGS, 192, 1024);
-}
-
-/// The same with other settings and limits.
-pub fn write_config_with(
-    path: &Path,
-    listen: SocketAddr,
-    discovery: SocketAddr,
-    known: &str,
-    settings: &str,
-    memory_mb: u64,
-    sockets: usize,
-) {
-    let text = format!(
-        r#"{{"name":"n1","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
-"limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},"known":{known},"settings":{settings}}}"#
-    );
-    let beside = path.with_extension("new");
-    std::fs::write(&beside, text).expect("the configuration can be written");
-    std::fs::rename(&beside, path).expect("the configuration can be replaced");
+/// What the configuration of a proxy states.
+pub struct Stated {
+    pub settings: &'static str,
+    pub memory_mb: u64,
+    pub sockets: usize,
 }
 
 pub struct Proxy {
     child: Child,
     pub listen: SocketAddr,
+    /// Its configuration, its `$TMPDIR` and its log.
+    _folder: Folder,
 }
 
 /// The root of the repository: the folder above `review/`.
-pub fn root(case: &Path) -> PathBuf {
+fn root(case: &Path) -> PathBuf {
     case.parent().and_then(Path::parent).expect("review/N lies in the repository").to_owned()
 }
 
@@ -476,35 +369,50 @@
 }
 
 impl Proxy {
-    /// Starts `run` of the deploy file. Has to be called on the main thread, with which the proxy ends.
-    pub fn start(root: &Path, told: &Told) -> Proxy {
-        let log = File::options().create(true).append(true).open(&told.log).expect("a log");
+    /// Starts `run` of the deploy file and waits until it is ready. Has to be called on the main thread, with which
+    /// the proxy ends.
+    pub fn start(case: &Path, discovery: &Discovery, stated: &Stated) -> Proxy {
+        let (root, folder, listen) = (root(case), Folder::new(), free_address());
+        let (temporary, config) = (folder.0.join("tmp"), folder.0.join("config.json"));
+        std::fs::create_dir_all(&temporary).expect("a folder");
+        let Stated { settings, memory_mb, sockets } = stated;
+        let (address, known) = (discovery.address, &discovery.list);
+        let text = format!(
+            r#"{{"name":"n1","listen":"{listen}","discovery":"{address}","seed":"8c1f30d27a5be964",
+"limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},"known":{known},"settings":{settings}}}"#
+        );
+        std::fs::write(&config, text).expect("the configuration can be written");
+        let log = File::create(folder.0.join("proxy.log")).expect("a log");
         let mut command = Command::new("/bin/sh");
         command
-            .args(["-c", &run_command(root)])
+            .args(["-c", &run_command(&root)])
             .current_dir(root)
             .env_clear()
             .env("PATH", "/usr/bin:/bin")
-            .env("TMPDIR", &told.folder)
+            .env("TMPDIR", temporary)
             .env("EDGE_NAME", "n1")
-            .env("EDGE_LISTEN", told.listen.to_string())
-            .env("EDGE_DISCOVERY", told.discovery.to_string())
-            .env("EDGE_CONFIG", &told.config)
+            .env("EDGE_LISTEN", listen.to_string())
+            .env("EDGE_DISCOVERY", address.to_string())
+            .env("EDGE_CONFIG", config)
             .stdin(Stdio::null())
             .stdout(log.try_clone().expect("a log"))
             .stderr(log);
-        if let Some(console) = told.console {
-            command.env("EDGE_CONSOLE", console.to_string());
-        }
         // The proxy does not outlive this program, whatever ends it.
-        unsafe { command.pre_exec(|| { prctl(1, SIGKILL as u64); Ok(()) }) };
+        unsafe {
+            command.pre_exec(|| {
+                prctl(1, SIGKILL as u64);
+                Ok(())
+            })
+        };
         let child = command.spawn().expect("the proxy can be started");
-        note!("proxy {} started: listens at {}, discovery {}", child.id(), told.listen, told.discovery);
-        Proxy { child, listen: told.listen }
+        note!("proxy {} started: listens at {listen}, discovery {address}", child.id());
+        let proxy = Proxy { child, listen, _folder: folder };
+        proxy.wait_until_ready();
+        proxy
     }
 
     /// Waits until `GET /health/ready` has answered 200.
-    pub fn wait_until_ready(&self) {
+    fn wait_until_ready(&self) {
         wait_for("the proxy is ready", Duration::from_secs(20), || {
             let get = "GET /health/ready HTTP/1.1\r\nHost: api.internal\r\nConnection: close\r\n\r\n";
             call(self.listen, get, Duration::from_secs(1)).is_some_and(|answer| answer.status() == 200)
