--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -454,12 +454,21 @@
     }
 }
 
+/// A run may take 120 s.
+const LONGEST_RUN: Duration = Duration::from_secs(100);
+
 /// Runs a case: exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 pub fn run_case(play: impl FnOnce(&Path) -> Result<(), String> + std::panic::UnwindSafe) -> ! {
     let case = PathBuf::from(std::env::args().nth(1).expect("the folder of the case"));
     let case = case.canonicalize().expect("the folder of the case");
     open_record(&case);
     note!("TROUBLE={}", u8::from(trouble()));
+    // Whatever stands still, the run ends within its time; the proxy ends with this program.
+    thread::spawn(|| {
+        thread::sleep(LONGEST_RUN);
+        note!("COULD NOT RUN: not over after {LONGEST_RUN:?}");
+        std::process::exit(2);
+    });
     let code = match std::panic::catch_unwind(|| play(&case)) {
         Ok(Ok(())) => {
             note!("RULE HELD");
