Don't serve a late second copy of a response to the next request

Cause: `ResponseMonitor::on_write` takes the first response after a request was written as its response, and `Backends::lease` hands a connection out at once after a response. A copy that is 7 ms late, with 4 ms of network each way, is on its way while the next request is; the look at the socket before the request can't see it.

Change: a request that is written within 25 ms of the response before doesn't get a successful response with the same bytes: it is dropped, the next one is awaited, and the connection closes after it. The 5 ms of rest at endpoints that had closed connections go, since the two ways cover them. Related: a 200 that is there before the last byte of a long request is malformed. A warning names endpoints that send bytes after a response.

Tests: the harness' `on=same` right after a response no longer holds, since the next request takes another connection then. `repeat ... until a same|closed|another` replaces it and is as strict: the very connection has to be used again, or closed without carrying a request.

--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -3,6 +3,11 @@
 //! Each connection is a separate awc client with a pool of one. So this module, and not awc's pool, decides
 //! which connection an attempt uses, how many connections are open, and when an idle connection is closed.
 
+mod idle_pool;
+mod response_variety;
+
+use self::idle_pool::{IdlePool, MaxWait, ReusedConnection};
+use self::response_variety::ResponseVariety;
 use crate::bodies::MAX_BODY_BYTES;
 use crate::connect::{Connect, ConnectFailure, SystemConnect};
 use crate::descriptors::{Descriptors, IdleConnectionPool, OpenConnection};
@@ -13,7 +18,7 @@
 use awc::http::Uri;
 use awc::{Client, Connector};
 use olivecart_decisions::EndpointId;
-use slog::{Logger, debug};
+use slog::{Logger, debug, warn};
 use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::future::{Future, ready};
@@ -22,15 +27,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{sleep_until, timeout};
 
 /// The fraction of the endpoint's idle timeout for which a connection is kept. A request that is written
 /// while the endpoint closes the connection may have been executed, so that it can't be retried.
 const IDLE_LIFETIME_FRACTION: f64 = 0.8;
 
-/// If a peer closes a connection right after a response, the close is noticed here within this time.
-const CLOSE_DETECTION_DELAY: Duration = Duration::from_millis(5);
-
 /// The connect timeout of clients whose connection is already established, so that they never wait.
 const HANDOVER_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -65,6 +67,8 @@
     pub monitor: Rc<ResponseMonitor>,
     /// Whether the connection was used for an earlier request.
     pub reused: bool,
+    /// A request must not be written to a pooled connection before this time.
+    usable_at: Instant,
     /// The established connection, until the client takes it.
     established: Established,
     connect: Rc<dyn Connect>,
@@ -86,6 +90,13 @@
 }
 
 impl Lease {
+    /// Waits until a request may be written to the pooled connection.
+    pub async fn wait_until_usable(&self) {
+        if self.usable_at > Instant::now() {
+            sleep_until(self.usable_at.into()).await;
+        }
+    }
+
     /// Establishes a connection for the next request of the client.
     ///
     /// # Errors
@@ -103,20 +114,12 @@
     }
 }
 
-struct IdleConnection {
-    lease: Lease,
-    since: Instant,
-}
-
 #[derive(Default)]
 struct Backend {
     addr: Option<SocketAddr>,
     started: Option<u64>,
     ready: bool,
-    /// Idle connections, the most recently used last.
-    idle: Vec<IdleConnection>,
-    /// When the endpoint was last found to have closed a pooled connection.
-    closed_pooled_at: Option<Instant>,
+    idle: IdlePool<Lease>,
 }
 
 impl Backend {
@@ -133,6 +136,8 @@
 /// The endpoints of a cluster and the connections to them.
 pub struct Backends {
     table: Rc<BackendTable>,
+    /// Whether its endpoints give different responses.
+    response_variety: RefCell<ResponseVariety>,
     connect_timeout: Cell<Duration>,
     idle_lifetime: Duration,
     /// The number of ready endpoints.
@@ -153,8 +158,9 @@
 
     fn close_longest_idle(&self) {
         let mut backends = self.0.borrow_mut();
-        let most_idle = backends.iter_mut().max_by_key(|b| b.idle.len()).filter(|b| !b.idle.is_empty());
-        most_idle.into_iter().for_each(|b| _ = b.idle.remove(0));
+        if let Some(most_idle) = backends.iter_mut().max_by_key(|b| b.idle.len()) {
+            most_idle.idle.close_longest_idle();
+        }
     }
 }
 
@@ -172,6 +178,7 @@
         descriptors.register(holder);
         Backends {
             table,
+            response_variety: RefCell::default(),
             connect_timeout: Cell::new(connect_timeout),
             idle_lifetime: idle_timeout.mul_f64(IDLE_LIFETIME_FRACTION),
             ready_count: Cell::new(0),
@@ -256,29 +263,24 @@
         self.ready_count.get() > 0
     }
 
-    /// Leases a connection to an endpoint: the most recently used idle one, or a new one that is still to be
-    /// established.
+    /// Leases a connection to an endpoint: an idle one if it may be used before a new one would be established,
+    /// and otherwise a new one that is still to be established. At a limit on connections, an idle one is
+    /// waited for.
     ///
     /// # Errors
     /// The endpoint has no known address, or a limit on connections is reached.
     pub fn lease(&self, endpoint: EndpointId) -> Result<Lease, LeaseError> {
-        let unknown = LeaseError::NoAddress(endpoint);
-        let mut table = self.table.0.borrow_mut();
-        let backend = table.get_mut(endpoint.0 as usize).ok_or(unknown)?;
-        let target = Target { endpoint, addr: backend.addr.ok_or(unknown)?, started: backend.started };
-        // Some endpoints close connections right after a response. If this endpoint closed a pooled
-        // connection lately, a connection is reused only after such a close would have been noticed.
-        let closed_lately = backend.closed_pooled_at.is_some_and(|at| at.elapsed() < self.idle_lifetime);
-        let is_usable =
-            |idle: &IdleConnection| !closed_lately || idle.since.elapsed() >= CLOSE_DETECTION_DELAY;
-        if let Some(index) = backend.idle.iter().rposition(is_usable) {
-            let idle = backend.idle.remove(index);
-            if idle.since.elapsed() < self.idle_lifetime {
-                return Ok(Lease { reused: true, ..idle.lease });
-            }
+        let target = self.target(endpoint).ok_or(LeaseError::NoAddress(endpoint))?;
+        if let Some(lease) = self.lease_idle(endpoint, MaxWait::ConnectTime) {
+            return Ok(lease);
+        }
+        let is_at_cluster_limit = self.connections() >= self.max_connections.get();
+        if (is_at_cluster_limit || self.descriptors.is_at_limit())
+            && let Some(lease) = self.lease_idle(endpoint, MaxWait::QuietPeriod)
+        {
+            return Ok(lease);
         }
-        drop(table); // borrowed again below to close an idle connection
-        if self.connections() >= self.max_connections.get() {
+        if is_at_cluster_limit {
             self.table.close_longest_idle();
             if self.connections() >= self.max_connections.get() {
                 return Err(LeaseError::AtLimit(endpoint));
@@ -289,22 +291,65 @@
         Ok(self.new_lease(target, [descriptor, self.open.clone()]))
     }
 
+    fn target(&self, endpoint: EndpointId) -> Option<Target> {
+        let table = self.table.0.borrow();
+        let backend = table.get(endpoint.0 as usize)?;
+        Some(Target { endpoint, addr: backend.addr?, started: backend.started })
+    }
+
+    fn lease_idle(&self, endpoint: EndpointId, max_wait: MaxWait) -> Option<Lease> {
+        let mut table = self.table.0.borrow_mut();
+        let (idle, now) = (&mut table.get_mut(endpoint.0 as usize)?.idle, Instant::now());
+        let recognises_copies = self.response_variety.borrow().is_high();
+        idle.close_expired(now, self.idle_lifetime);
+        let ReusedConnection { connection, usable_at, may_receive_copy } =
+            idle.take(now, max_wait, recognises_copies)?;
+        connection.monitor.set_drops_copies(may_receive_copy);
+        Some(Lease { reused: true, usable_at, ..connection })
+    }
+
     /// Keeps a connection for another request if it is reusable and its target is still ready, and closes it
     /// otherwise.
     pub fn release(&self, lease: Lease) {
+        self.report_excess_bytes(lease.target, &lease.monitor);
         let mut table = self.table.0.borrow_mut();
         if let Some(backend) = table.get_mut(lease.target.endpoint.0 as usize)
             && backend.is_ready_at(lease.target)
             && lease.monitor.is_reusable()
         {
-            backend.idle.push(IdleConnection { lease, since: Instant::now() });
+            let has_digest = lease.monitor.last_response().is_some();
+            backend.idle.put(lease, Instant::now(), has_digest);
         }
     }
 
-    /// Records that an endpoint closed a pooled connection.
-    pub fn on_pooled_connection_closed(&self, endpoint: EndpointId) {
+    /// Records how long it took to establish a connection to an endpoint.
+    pub fn on_connected(&self, endpoint: EndpointId, connect_time: Duration) {
         if let Some(backend) = self.table.0.borrow_mut().get_mut(endpoint.0 as usize) {
-            backend.closed_pooled_at = Some(Instant::now());
+            backend.idle.on_connected(connect_time);
+        }
+    }
+
+    /// Records the last response on a connection, which reports success.
+    pub fn on_response(&self, monitor: &ResponseMonitor) {
+        self.response_variety.borrow_mut().on_response(monitor.last_response());
+    }
+
+    /// Records that there was no response to the request on a connection.
+    pub fn on_response_missing(&self, monitor: &ResponseMonitor) {
+        if monitor.has_dropped_copy() {
+            self.response_variety.borrow_mut().on_response_missing();
+        }
+    }
+
+    /// Logs, from time to time, that an endpoint sent bytes after the end of a response.
+    pub fn report_excess_bytes(&self, target: Target, monitor: &ResponseMonitor) {
+        if !monitor.take_excess_noticed() {
+            return;
+        }
+        let mut table = self.table.0.borrow_mut();
+        let Some(backend) = table.get_mut(target.endpoint.0 as usize) else { return };
+        if backend.idle.is_report_due(Instant::now()) {
+            warn!(self.log, "endpoint sent bytes after the end of a response"; "peer" => %target.addr);
         }
     }
 
@@ -318,10 +363,13 @@
     /// Closes connections that have been idle for their lifetime, and all idle connections to endpoints that
     /// are not ready.
     pub fn close_expired(&self) {
-        let lifetime = self.idle_lifetime;
+        let now = Instant::now();
         for backend in self.table.0.borrow_mut().iter_mut() {
-            let ready = backend.ready;
-            backend.idle.retain(|idle| ready && idle.since.elapsed() < lifetime);
+            if backend.ready {
+                backend.idle.close_expired(now, self.idle_lifetime);
+            } else {
+                backend.idle.clear();
+            }
         }
     }
 
@@ -333,6 +381,7 @@
             target,
             monitor,
             reused: false,
+            usable_at: Instant::now(),
             established,
             connect: self.connect.clone(),
             connect_timeout: self.connect_timeout.get(),
--- /dev/null
+++ b/crates/proxy/src/backends/idle_pool.rs
@@ -0,0 +1,137 @@
+//! The idle connections to one endpoint: which of them the next request uses, and when it may be written.
+//!
+//! HTTP/1.1 ties a response to its request by nothing but the order on the connection. If an endpoint sends a
+//! response twice, some milliseconds apart, the second copy may arrive when the next request is already written,
+//! and would be taken for its response. There are two ways to prevent this. Either the connection is used again
+//! only after it was quiet for longer than such a copy takes, so that the copy is found in the socket before
+//! anything is written. Or the copy is recognised by its bytes, and dropped. The second way costs nothing, but
+//! works only for endpoints that hardly ever give the same response twice
+//! ([`ResponseVariety`](super::response_variety::ResponseVariety)): from others, the response to the next request
+//! may have the same bytes as well.
+
+use std::time::{Duration, Instant};
+
+/// The time without received bytes after a response, from which on no copy of it is expected. Endpoints repeat
+/// responses, and close connections after them, some milliseconds late.
+pub const QUIET_PERIOD: Duration = Duration::from_millis(25);
+
+/// The minimum time between two reports of excess bytes from an endpoint.
+const REPORT_INTERVAL: Duration = Duration::from_secs(60);
+
+/// Idle connections to one endpoint. `T` is a connection.
+pub struct IdlePool<T> {
+    /// In the order in which they became idle.
+    connections: Vec<IdleConnection<T>>,
+    /// How long it took to establish the last connection.
+    connect_time: Duration,
+    /// When excess bytes were last reported.
+    reported_at: Option<Instant>,
+}
+
+struct IdleConnection<T> {
+    connection: T,
+    since: Instant,
+    /// Whether the last response can be compared with the next one.
+    has_digest: bool,
+}
+
+impl<T> IdleConnection<T> {
+    /// When a request may be written, if copies of a response that has a digest are recognised, or not.
+    fn usable_at(&self, recognises_copies: bool) -> Instant {
+        if recognises_copies && self.has_digest { self.since } else { self.since + QUIET_PERIOD }
+    }
+}
+
+/// A connection for another request.
+#[derive(Debug, PartialEq, Eq)]
+pub struct ReusedConnection<T> {
+    /// The connection.
+    pub connection: T,
+    /// The request must not be written before this time.
+    pub usable_at: Instant,
+    /// Whether a copy of the previous response may still arrive after this time.
+    pub may_receive_copy: bool,
+}
+
+/// Whether a request may wait longer for an idle connection than it takes to establish a new one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MaxWait {
+    /// At most as long as the last connection took to be established.
+    ConnectTime,
+    /// For the whole quiet period, because no new connection may be established.
+    QuietPeriod,
+}
+
+impl<T> Default for IdlePool<T> {
+    fn default() -> IdlePool<T> {
+        IdlePool { connections: Vec::new(), connect_time: Duration::ZERO, reported_at: None }
+    }
+}
+
+impl<T> IdlePool<T> {
+    /// The number of idle connections.
+    pub fn len(&self) -> usize {
+        self.connections.len()
+    }
+
+    /// Adds a connection whose response was received to its end at `now`. `has_digest` is whether the response can
+    /// be compared with the next one.
+    pub fn put(&mut self, connection: T, now: Instant, has_digest: bool) {
+        self.connections.push(IdleConnection { connection, since: now, has_digest });
+    }
+
+    /// Takes the connection for a request: the most recently used one that is usable now, or else the one that
+    /// is usable first, if that is within `max_wait`.
+    pub fn take(
+        &mut self,
+        now: Instant,
+        max_wait: MaxWait,
+        recognises_copies: bool,
+    ) -> Option<ReusedConnection<T>> {
+        let usable_at = |idle: &IdleConnection<T>| idle.usable_at(recognises_copies);
+        let usable_now = self.connections.iter().rposition(|idle| usable_at(idle) <= now);
+        let usable_first = || (0..self.len()).min_by_key(|index| usable_at(&self.connections[*index]));
+        let index = usable_now.or_else(usable_first)?;
+        let usable_at = usable_at(&self.connections[index]);
+        if max_wait == MaxWait::ConnectTime && usable_at.saturating_duration_since(now) > self.connect_time {
+            return None;
+        }
+        let IdleConnection { connection, since, .. } = self.connections.remove(index);
+        let may_receive_copy = usable_at.max(now) < since + QUIET_PERIOD;
+        Some(ReusedConnection { connection, usable_at, may_receive_copy })
+    }
+
+    /// Closes all connections.
+    pub fn clear(&mut self) {
+        self.connections.clear();
+    }
+
+    /// Closes the connection that has been idle for the longest time.
+    pub fn close_longest_idle(&mut self) {
+        if !self.connections.is_empty() {
+            self.connections.remove(0);
+        }
+    }
+
+    /// Closes the connections that have been idle for `lifetime`.
+    pub fn close_expired(&mut self, now: Instant, lifetime: Duration) {
+        self.connections.retain(|idle| now.saturating_duration_since(idle.since) < lifetime);
+    }
+
+    /// Records how long it took to establish a connection.
+    pub fn on_connected(&mut self, connect_time: Duration) {
+        self.connect_time = connect_time;
+    }
+
+    /// Whether bytes after the end of a response are to be reported, at `now`.
+    pub fn is_report_due(&mut self, now: Instant) -> bool {
+        let is_due = self.reported_at.is_none_or(|at| now.saturating_duration_since(at) >= REPORT_INTERVAL);
+        if is_due {
+            self.reported_at = Some(now);
+        }
+        is_due
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/proxy/src/descriptors.rs
+++ b/crates/proxy/src/descriptors.rs
@@ -46,12 +46,17 @@
         Rc::strong_count(&self.open) - 1
     }
 
+    /// Whether another connection can be opened only if an idle one is closed.
+    pub fn is_at_limit(&self) -> bool {
+        self.open() >= self.limit.get()
+    }
+
     /// Counts one more connection and returns its guard, or `None` if the limit is reached and no connection
     /// is idle. At the limit, closes the connection that has been idle longest to the endpoint with the most
     /// idle connections of all clusters. The caller must not hold a borrow of a pool's table, which
     /// [`IdleConnectionPool`] borrows as well.
     pub fn acquire(&self) -> Option<OpenConnection> {
-        if self.open() >= self.limit.get() {
+        if self.is_at_limit() {
             let pools = self.pools.borrow();
             let pools = pools.iter().filter_map(Weak::upgrade);
             let (_, fullest) = pools
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -30,6 +30,7 @@
 mod membership;
 mod platform;
 mod reload;
+mod response_digest;
 mod response_monitor;
 mod serve;
 mod serving_process;
--- a/crates/proxy/src/response_monitor.rs
+++ b/crates/proxy/src/response_monitor.rs
@@ -5,9 +5,15 @@
 //! response that is malformed or too long fails the read. Bytes after the end of a response are dropped, so
 //! that they are never read as the start of the next one, and the connection is not used again. Heads and
 //! bodies are split with actix-http's codec, so that awc splits them in the same places.
+//!
+//! Some endpoints send a response twice. If the second copy arrives when the next request was already written, only
+//! its bytes show that it is not the response to that request. On a connection that was used again so soon
+//! ([`ResponseMonitor::set_drops_copies`]), a successful response that equals the one before is dropped, and the
+//! next one is awaited.
 
+use crate::response_digest::{DigestBuilder, ResponseDigest};
 use crate::stats::Stats;
-use crate::wire::{Socket, StreamObserver, uninterrupted};
+use crate::wire::{Peek, Socket, StreamObserver, uninterrupted};
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, MessageType};
 use actix_http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use actix_http::{ResponseHead, StatusCode, Version};
@@ -59,6 +65,16 @@
     max_body_bytes: usize,
     /// Whether bytes were received after the end of the response.
     has_excess_bytes: Cell<bool>,
+    /// Whether such bytes were received since this was last asked, on this connection or the one before.
+    excess_noticed: Cell<bool>,
+    /// Whether bytes were received before the last byte of the request was written.
+    responded_early: Cell<bool>,
+    /// Whether a copy of the previous response is dropped.
+    drops_copies: Cell<bool>,
+    /// Whether a copy was dropped on this connection.
+    copy_dropped: Cell<bool>,
+    /// The last complete response on this connection, unless it was long.
+    last_response: Cell<Option<ResponseDigest>>,
     /// When bytes of the current response were last received; `None` before its first byte and after its end.
     last_received_at: Cell<Option<Instant>>,
     response_started: Notify,
@@ -74,6 +90,10 @@
     decoded: BytesMut,
     /// The length of this response so far: of its heads, then of its body.
     length: usize,
+    /// The bytes of this response so far, without interim responses.
+    digest: DigestBuilder,
+    /// Whether this response reports success.
+    is_success: bool,
 }
 
 /// The part of a response that is expected next.
@@ -108,6 +128,11 @@
             write_check: RefCell::default(),
             max_body_bytes,
             has_excess_bytes: flag(),
+            excess_noticed: flag(),
+            responded_early: flag(),
+            drops_copies: flag(),
+            copy_dropped: flag(),
+            last_response: Cell::default(),
             last_received_at: Cell::new(None),
             response_started: Notify::new(),
             reading: RefCell::default(),
@@ -116,10 +141,25 @@
 
     /// Prepares for the next request. `write_check` runs before its first byte is written.
     pub fn begin_request(&self, write_check: Option<WriteCheckFn>) {
-        [&self.written, &self.write_rejected].iter().for_each(|flag| flag.set(false));
+        [&self.written, &self.write_rejected, &self.responded_early].iter().for_each(|flag| flag.set(false));
         self.write_check.replace(write_check);
     }
 
+    /// Sets whether a successful response that equals the previous one on the connection is dropped.
+    pub fn set_drops_copies(&self, drops_copies: bool) {
+        self.drops_copies.set(drops_copies);
+    }
+
+    /// Whether a copy of the previous response was dropped on this connection.
+    pub fn has_dropped_copy(&self) -> bool {
+        self.copy_dropped.get()
+    }
+
+    /// The last complete response on this connection, or `None` if there was none or it was long.
+    pub fn last_response(&self) -> Option<ResponseDigest> {
+        self.last_response.get()
+    }
+
     /// Whether any byte of the request was written.
     pub fn is_written(&self) -> bool {
         self.written.get()
@@ -134,7 +174,15 @@
     pub fn on_connected(&self) {
         // If there was a connection before, it was closed.
         self.reconnected.set(self.connected.replace(true));
-        [&self.peer_closed, &self.malformed, &self.has_excess_bytes].iter().for_each(|flag| flag.set(false));
+        let of_connection = [
+            &self.peer_closed,
+            &self.malformed,
+            &self.has_excess_bytes,
+            &self.drops_copies,
+            &self.copy_dropped,
+        ];
+        of_connection.iter().for_each(|flag| flag.set(false));
+        self.last_response.set(None);
         self.last_received_at.set(None);
         *self.reading.borrow_mut() = Reading::default();
     }
@@ -144,13 +192,19 @@
         matches!(self.reading.borrow().phase, Phase::Idle)
     }
 
-    /// Whether another request may be written: the response is complete, no bytes were received after it, and
-    /// the peer has not closed the connection.
+    /// Whether another request may be written: the response is complete, no bytes were received after it, no
+    /// copy was dropped before it, and the peer has not closed the connection.
     pub fn is_reusable(&self) -> bool {
         self.is_response_complete()
             && !self.peer_closed.get()
             && !self.malformed.get()
             && !self.has_excess_bytes.get()
+            && !self.copy_dropped.get()
+    }
+
+    /// Whether bytes were received after the end of a response since the last call.
+    pub fn take_excess_noticed(&self) -> bool {
+        self.excess_noticed.take()
     }
 
     /// Resolves when a response has started, is not complete, and no byte was received for the idle timeout.
@@ -176,6 +230,7 @@
             match &mut reading.phase {
                 Phase::Idle => {
                     self.has_excess_bytes.set(true);
+                    self.excess_noticed.set(true);
                     reading.raw.clear();
                     return Ok(());
                 }
@@ -193,6 +248,9 @@
                         head = codec.decode(&mut rest).map_err(drop)?.ok_or(())?;
                     }
                     is_interim = head.status.is_informational() && head.status.as_u16() != 101;
+                    if self.is_premature(head.status) {
+                        return Err(());
+                    }
                     reading.length += reading.raw.len() - rest.len();
                     if is_interim && reading.length > MAX_HEAD_BYTES {
                         return Err(());
@@ -202,6 +260,8 @@
                             self.expects_no_body.get() || matches!(codec.message_type(), MessageType::None);
                         let body = || Phase::Body(codec.into_payload_codec());
                         (reading.phase, reading.length) = (if has_no_body { Phase::Idle } else { body() }, 0);
+                        reading.is_success = head.status.is_success();
+                        reading.digest.reset();
                     }
                 }
                 Phase::Body(codec) => loop {
@@ -222,6 +282,10 @@
             let bytes = reading.raw.split_to(consumed);
             if !is_interim {
                 reading.decoded.extend_from_slice(&bytes);
+                reading.digest.push(&bytes);
+            }
+            if matches!(reading.phase, Phase::Idle) {
+                self.on_response_complete(reading);
             }
             if consumed == 0 && matches!(reading.phase, Phase::Body(_)) {
                 return Ok(()); // the next chunk is not complete yet
@@ -233,6 +297,35 @@
         Ok(())
     }
 
+    /// Drops a copy of the previous response, or records this one.
+    fn on_response_complete(&self, reading: &mut Reading) {
+        let digest = reading.digest.digest();
+        if self.drops_copies.get() && reading.is_success && digest == self.last_response.get() {
+            self.copy_dropped.set(true);
+            self.excess_noticed.set(true);
+            reading.decoded.clear();
+            (reading.phase, reading.length) = (Phase::Head, 0);
+        } else {
+            self.last_response.set(digest);
+        }
+    }
+
+    /// Whether the response received so far may be a copy of the previous one, so that awc must not see it yet.
+    fn may_be_copy(&self, reading: &Reading) -> bool {
+        let is_in_body = matches!(reading.phase, Phase::Body(_)) && reading.is_success;
+        let previous = self.last_response.get().filter(|_| self.drops_copies.get() && is_in_body);
+        previous.is_some_and(|previous| reading.digest.length() <= previous.length())
+    }
+
+    /// Whether a response can't be an answer to the request, because it reports success and was received before
+    /// the endpoint could have the last byte. It is a late copy of the response before it, or noise.
+    fn is_premature(&self, status: StatusCode) -> bool {
+        if status.is_informational() {
+            self.responded_early.set(false); // the early bytes may have been this interim response alone
+        }
+        self.responded_early.get() && status.is_success()
+    }
+
     /// Whether the head announces a body that ends with the connection.
     fn ends_with_connection(&self, codec: &ClientCodec, head: &ResponseHead) -> bool {
         let closes = || {
@@ -257,8 +350,8 @@
 /// Whether bytes or the end of the stream were received that the runtime has not reported yet. Without this
 /// check, a request could be written to a connection that the peer closed right after its response: such a
 /// request may have been executed, and can't be retried.
-fn has_unread_bytes(stream: &dyn Socket) -> bool {
-    match uninterrupted(|| Poll::Ready(stream.peek_byte())) {
+fn has_unread_bytes(socket: &dyn Peek) -> bool {
+    match uninterrupted(|| Poll::Ready(socket.peek_byte())) {
         Poll::Ready(Err(e)) => e.kind() != io::ErrorKind::WouldBlock,
         _ => true,
     }
@@ -279,15 +372,14 @@
             // The end of a response is passed on only after another read, which shows whether excess bytes or
             // a close follow it.
             let is_complete = matches!(reading.phase, Phase::Idle);
-            if !reading.decoded.is_empty()
-                && (!is_complete || self.peer_closed.get() || self.has_excess_bytes.get())
-            {
+            let has_decoded = !reading.decoded.is_empty() && !self.may_be_copy(&reading);
+            if has_decoded && (!is_complete || self.peer_closed.get() || self.has_excess_bytes.get()) {
                 break;
             }
             let mut space = [0; READ_BUFFER_BYTES];
             let mut received = ReadBuf::new(&mut space);
             let read = match uninterrupted(|| stream.as_mut().poll_read(cx, &mut received)) {
-                Poll::Pending if !reading.decoded.is_empty() => break,
+                Poll::Pending if has_decoded => break,
                 Poll::Pending if is_complete && has_unread_bytes(&*stream) => {
                     self.peer_closed.set(true);
                     return Poll::Ready(Ok(()));
@@ -296,7 +388,8 @@
             };
             if read.is_err() || received.filled().is_empty() {
                 self.peer_closed.set(true);
-                if !reading.decoded.is_empty() {
+                // A reset is no end of an incomplete response whose bytes were held back as a possible copy.
+                if !reading.decoded.is_empty() && (is_complete || read.is_ok()) {
                     break;
                 }
                 return Poll::Ready(read);
@@ -317,14 +410,16 @@
         Poll::Ready(Ok(()))
     }
 
-    fn on_write(&self) -> io::Result<()> {
+    fn on_write(&self, socket: &dyn Peek) -> io::Result<()> {
         if let Some(write_check) = self.write_check.take()
             && let Err(rejection) = write_check()
         {
             self.write_rejected.set(true);
             return Err(rejection);
         }
-        self.written.set(true);
+        if self.written.replace(true) && has_unread_bytes(socket) {
+            self.responded_early.set(true);
+        }
         let mut reading = self.reading.borrow_mut();
         if matches!(reading.phase, Phase::Idle) && !self.has_excess_bytes.get() {
             (reading.phase, reading.length) = (Phase::Head, 0);
--- a/crates/proxy/src/stages/attempt.rs
+++ b/crates/proxy/src/stages/attempt.rs
@@ -106,6 +106,11 @@
             }
         }
     };
+    if result.response.is_none()
+        && let Some(monitor) = &monitor
+    {
+        context.backends.on_response_missing(monitor);
+    }
     // The exchange was dropped above, and with it the connection of a cancelled attempt. The outcome must not
     // be reported earlier, since the balancer may send the request to another endpoint at once.
     if let Some(upload) = &upload {
@@ -214,7 +219,7 @@
     payload: &Payload,
 ) -> AttemptResult {
     let (Ok(lease), Some(write_check)) = (lease, write_check) else { return Outcome::NotSent.into() };
-    let (endpoint, method) = (lease.target.endpoint, &payload.method);
+    let (target, method) = (lease.target, &payload.method);
     lease.monitor.expects_no_body.set(*method == Method::HEAD);
     let (monitor, reused) = (lease.monitor.clone(), lease.reused);
     let received = match send(context, &lease, &write_check, payload).await {
@@ -223,13 +228,14 @@
     };
     let reconnected = monitor.reconnected.take();
     let pooled_connection_broke = matches!(received, Err(Outcome::Reset)) && reused && !reconnected;
-    if pooled_connection_broke || reused && reconnected {
-        context.backends.on_pooled_connection_closed(endpoint);
-    }
+    context.backends.report_excess_bytes(target, &monitor);
     match received {
         Ok((head, body, remainder)) => {
             let outcome = backend::outcome(head.status, &head.headers);
             let load = backend::load_report(&head.headers);
+            if head.status.is_success() {
+                context.backends.on_response(&monitor);
+            }
             let forwarded = || EndpointResponse {
                 status: head.status,
                 headers: backend::forwarded_headers(&head.headers),
@@ -253,13 +259,11 @@
     write_check: &Rc<WriteCheck>,
     payload: &Payload,
 ) -> Result<ClientResponse, Outcome> {
+    lease.wait_until_usable().await;
     let mut needs_connection = !lease.reused;
     for _ in 0..MAX_HEADS_PER_ATTEMPT {
         if needs_connection {
             connect(context, lease).await?;
-            if write_check.needs_new_head() {
-                lease.monitor.reconnected.set(false); // the endpoint had not closed the old connection
-            }
         }
         match wait_for_head(&lease.monitor, send_once(context, lease, write_check, payload)).await? {
             Ok(response) => return Ok(response),
@@ -273,7 +277,12 @@
 }
 
 async fn connect(context: &Context, lease: &Lease) -> Result<(), Outcome> {
-    lease.connect().await.map_err(|failure| {
+    let began = Instant::now();
+    let connected = lease.connect().await;
+    if connected.is_ok() {
+        context.backends.on_connected(lease.target.endpoint, began.elapsed());
+    }
+    connected.map_err(|failure| {
         debug!(context.backends.log(), "connect failed"; "reason" => %failure);
         match failure {
             ConnectFailure::Local(..) => Outcome::NotSent,
@@ -533,6 +542,7 @@
     monitor.expects_no_body.set(false);
     monitor.attempt_stats.take(); // health checks are not counted as attempts
     monitor.begin_request(None);
+    lease.wait_until_usable().await;
     if !lease.reused {
         connect(context, &lease).await?;
     }
--- a/crates/proxy/src/wire.rs
+++ b/crates/proxy/src/wire.rs
@@ -17,7 +17,12 @@
 
 /// The socket operations that a stream to a backend uses. Tests use an implementation whose calls are
 /// interrupted.
-pub trait Socket: AsyncRead + AsyncWrite + ActixStream {
+pub trait Socket: AsyncRead + AsyncWrite + ActixStream + Peek {}
+
+impl Socket for TcpStream {}
+
+/// A socket whose next byte can be looked at without reading it.
+pub trait Peek {
     /// Peeks at the next byte. Returns the number of bytes seen: 1, or 0 at the end of the stream.
     ///
     /// # Errors
@@ -25,7 +30,7 @@
     fn peek_byte(&self) -> io::Result<usize>;
 }
 
-impl Socket for TcpStream {
+impl Peek for TcpStream {
     fn peek_byte(&self) -> io::Result<usize> {
         SockRef::from(self).peek(&mut [MaybeUninit::uninit()])
     }
@@ -52,11 +57,11 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>>;
 
-    /// Called before each write.
+    /// Called before each write to `socket`.
     ///
     /// # Errors
     /// Returns an error if the write is not allowed.
-    fn on_write(&self) -> io::Result<()> {
+    fn on_write(&self, _socket: &dyn Peek) -> io::Result<()> {
         Ok(())
     }
 }
@@ -83,7 +88,7 @@
 
 impl<T: StreamObserver, S: Socket> AsyncWrite for ObservedStream<T, S> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        if let Err(closed) = self.observer.on_write() {
+        if let Err(closed) = self.observer.on_write(&self.stream) {
             return Poll::Ready(Err(closed));
         }
         uninterrupted(|| Pin::new(&mut self.stream).poll_write(cx, buf))
--- a/crates/proxy/src/wire/tests.rs
+++ b/crates/proxy/src/wire/tests.rs
@@ -63,7 +63,9 @@
     }
 }
 
-impl Socket for InterruptedSocket {
+impl Socket for InterruptedSocket {}
+
+impl Peek for InterruptedSocket {
     fn peek_byte(&self) -> io::Result<usize> {
         self.interrupt()?;
         self.stream.peek_byte()
--- a/crates/proxy/tests/scenario/mod.rs
+++ b/crates/proxy/tests/scenario/mod.rs
@@ -20,6 +20,11 @@
 //!                                          without endpoints; `remove NAME`; `drop` closes its streams;
 //!                                          `restart` also replaces all clusters; `expect TEXT .. TEXT` waits
 //!                                          for a line of its journal
+//! c repeat GET /x until a same             client c sends requests, which backend a answers with 200, until one
+//!                                          arrives on the connection of a's last request before this step; the
+//!                                          step fails if that connection is closed. `until a closed` repeats until
+//!                                          it is closed, `until a another` until a request arrives on a connection
+//!                                          of an earlier repetition; both fail if one arrives on that connection
 //! console expect 200 POST /path BODY       sends a request to the admin server and compares the status
 //! console wait NAME=VALUE NAME=VALUE       waits until the admin server reports all these statistics
 //! ```
@@ -297,6 +302,12 @@
         }
     }
 
+    /// Whether the end of a connection has arrived.
+    fn is_closed(&mut self, number: u32) -> bool {
+        self.waiting.extend(self.arrivals.try_iter());
+        self.waiting.iter().any(|arrival| matches!(arrival, Arrival::Closed(closed) if *closed == number))
+    }
+
     fn step(
         &mut self,
         verb: &str,
@@ -536,6 +547,7 @@
                 let ended = status.signal().map(|signal| signal.to_string());
                 if ended.as_deref() == Some(&rest[7..]) { Ok(()) } else { Err(status.to_string()) }
             }
+            (_, "repeat", _) => self.repeat_step(who, rest),
             _ if self.peers.contains_key(who) => {
                 let rest = self.insert_addresses(rest);
                 self.peers.get_mut(who).ok_or("no such peer")?.step(verb, &rest, &self.deadlines)
@@ -553,6 +565,34 @@
         self.peers.iter().fold(text.to_owned(), at)
     }
 
+    /// Sends requests until the connection of a peer's last request is used again or closed.
+    fn repeat_step(&mut self, client: &str, rest: &str) -> Result<(), String> {
+        let (request, until) = rest.split_once(" until ").ok_or("no condition")?;
+        let (peer, condition) = until.split_once(' ').ok_or("no condition")?;
+        let number = self.peers[peer].current.as_ref().ok_or("no connection")?.0;
+        let mut opened = Vec::new();
+        let end = Instant::now() + STEP_TIMEOUT;
+        while Instant::now() < end {
+            self.client_step(client, "send", request)?;
+            let peer = self.peers.get_mut(peer).ok_or("no such peer")?;
+            peer.step("expect", request, &self.deadlines)?;
+            peer.step("send", "200", &self.deadlines)?;
+            let used = peer.current.as_ref().ok_or("no connection")?.0;
+            let is_closed = peer.is_closed(number);
+            self.client_step(client, "expect", "200")?;
+            match condition {
+                "same" if used == number => return Ok(()),
+                "same" if is_closed => return Err(format!("connection {number} was closed")),
+                "closed" | "another" if used == number => return Err(format!("on connection {number}")),
+                "closed" if is_closed => return Ok(()),
+                "another" if opened.contains(&used) => return Ok(()),
+                "same" | "closed" | "another" => opened.push(used),
+                _ => return Err("no such condition".into()),
+            }
+        }
+        Err(format!("connection {number} is neither used nor closed"))
+    }
+
     fn admin_step(&self, verb: &str, rest: &str) -> Result<(), String> {
         let at = self.console.ok_or("no console")?;
         let call = |first: &str, body: &str| call_once(at, first, body).map_err(|e| e.to_string());
