Answer long uploads before the kill at the end of a shutdown

Cause: `call_cluster` limits a request's deadline to the end of the shutdown when it dispatches it. A streamed body is dispatched before its last byte, from which its time runs, so that `stages/response.rs` and `stages/attempt.rs` use `RequestBody::wait_for_end` instead, without a limit. Uploads that began before the signal, and ones that never end, escaped it as well.

Change: `ShutdownDeadline`, set with the listener's shutdown, is watched by `stages/response.rs` while a streamed request is open: 504 if its body has ended, 503 if not, since no endpoint executes it then.

Weighed: handing the deadline to the body, which two places would use, and which a body without an end doesn't reach; a limit at the dispatch, which takes time from slow clients. Requests that were whole before the signal keep their deadline. No price in connections or for requests answered in time.

--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -13,6 +13,7 @@
 use crate::config::Sockets;
 use crate::latency::LatencyEstimate;
 use crate::platform::client;
+use crate::shutdown_deadline::ShutdownDeadline;
 use crate::stages::admission::{self, AdmissionError};
 use crate::stages::cluster_selection::Routes;
 use crate::stages::{parse, response};
@@ -72,8 +73,8 @@
     last_request_at: Cell<Instant>,
     /// Latency of served requests, measured from their dispatch.
     latency: Cell<LatencyEstimate>,
-    /// The time by which all requests must be answered, once a shutdown has begun.
-    answer_by: Cell<Option<Instant>>,
+    /// When requests must be answered, once a shutdown has begun.
+    shutdown_deadline: ShutdownDeadline,
     /// Whether each response is the last one on its connection.
     closing: Cell<bool>,
     /// Whether connections are accepted here and not by the successor.
@@ -93,7 +94,7 @@
             clients: Rc::default(),
             last_request_at: Cell::new(Instant::now()),
             latency: Cell::default(),
-            answer_by: Cell::new(None),
+            shutdown_deadline: ShutdownDeadline::default(),
             closing: Cell::new(false),
             accepting: watch::channel(true).0,
             budget: parts.budget,
@@ -122,7 +123,7 @@
 
     /// Makes the listener not ready. Requests that still arrive are answered by the given time.
     pub fn begin_shutdown(&self, answer_by: Instant) {
-        self.answer_by.set(Some(answer_by));
+        self.shutdown_deadline.set(answer_by);
     }
 
     /// Evicts idle connections last from now on: see [`Clients::protect_idle`].
@@ -132,7 +133,7 @@
 
     /// Whether the listener is ready for requests: an endpoint accepts requests and no shutdown has begun.
     pub fn is_ready(&self) -> bool {
-        self.routes.any_takes_requests() && self.answer_by.get().is_none()
+        self.routes.any_takes_requests() && !self.shutdown_deadline.is_set()
     }
 
     /// Sends `Connection: close` with all responses from now on and closes idle connections that have no
@@ -304,7 +305,7 @@
     client: &Rc<Client>,
 ) -> Result<Response<ResponseContent>, client::Reject> {
     client.on_head_received();
-    let call = parse::parse(request, &control.site, &control.budget).await?;
+    let call = parse::parse(request, &control.site, &control.budget, &control.shutdown_deadline).await?;
     let active = control.stats.as_ref().map(|stats| stats.count_request(usize::from(call.class.0)));
     let response = call_cluster(control, client, call).await?;
     Ok(match active {
@@ -370,7 +371,7 @@
     mut call: Call,
 ) -> Result<Response<ResponseContent>, client::Reject> {
     // A response that is later than the end of a shutdown would be lost.
-    call.deadline = control.answer_by.get().map_or(call.deadline, |by| call.deadline.min(by));
+    call.deadline = control.shutdown_deadline.limit(call.deadline);
     client.on_request_dispatched(match call.payload.body {
         Body::Buffered { .. } => RequestBody::Complete,
         Body::Streamed(_) => RequestBody::Streaming,
@@ -393,7 +394,8 @@
     };
     let dispatched_at = Instant::now();
     control.last_request_at.set(dispatched_at);
-    let verdict = response::wait(&mut admitted, client.wait_for_peer_close()).await;
+    let verdict =
+        response::wait(&mut admitted, client.wait_for_peer_close(), &control.shutdown_deadline).await;
     if let Some(Verdict::Served(_)) = &verdict {
         let mut latency = control.latency.get();
         latency.observe(dispatched_at.elapsed());
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -35,6 +35,7 @@
 mod serve;
 mod serving_process;
 mod shutdown;
+mod shutdown_deadline;
 mod sidecar;
 mod stages;
 mod start_times;
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -152,12 +152,7 @@
         sleep(POLL_INTERVAL).await;
     }
     control.close_idle();
-    let abandon_at = started_at + times.connections_abandoned;
-    while awaited_connections(std::slice::from_ref(&control), abandon_at) > 0
-        && started_at.elapsed() < LONGEST_SHUTDOWN
-    {
-        sleep(POLL_INTERVAL).await;
-    }
+    wait_for_connections(&[control], started_at, started_at + times.connections_abandoned, log).await;
     info!(log, "shutdown finished"; "duration_ms" => started_at.elapsed().as_millis() as u64);
 }
 
@@ -187,16 +182,32 @@
     for control in controls {
         control.close_connections();
     }
+    wait_for_connections(controls, started_at, abandon_at, log).await;
+    let connections = open_connections(controls);
+    if connections > 0 {
+        warn!(log, "connections abandoned"; "connections" => connections);
+    }
+}
+
+/// Waits until no connection is open or, from `abandon_at` on, until no request is in flight. Reports the requests
+/// that are in flight then: they are lost if the process is killed.
+async fn wait_for_connections(
+    controls: &[Rc<AcceptControl>],
+    started_at: Instant,
+    abandon_at: Instant,
+    log: &Logger,
+) {
     // A single poll without connections may precede the accept of one that is in the listen queue.
     let mut consecutive_empty_polls = 0;
+    let mut is_reported = false;
     while consecutive_empty_polls < 2 && started_at.elapsed() < LONGEST_SHUTDOWN {
         sleep(POLL_INTERVAL).await;
         let is_empty = awaited_connections(controls, abandon_at) == 0;
         consecutive_empty_polls = if is_empty { consecutive_empty_polls + 1 } else { 0 };
-    }
-    let connections = open_connections(controls);
-    if connections > 0 {
-        warn!(log, "connections abandoned"; "connections" => connections);
+        if !is_empty && !is_reported && Instant::now() >= abandon_at {
+            is_reported = true;
+            warn!(log, "requests in flight at the end of the shutdown"; "requests" => in_flight(controls));
+        }
     }
 }
 
@@ -217,6 +228,10 @@
     if Instant::now() < abandon_at {
         return open_connections(controls);
     }
+    in_flight(controls)
+}
+
+fn in_flight(controls: &[Rc<AcceptControl>]) -> usize {
     controls.iter().map(|control| control.in_flight()).sum()
 }
 
--- a/crates/proxy/src/stages/parse.rs
+++ b/crates/proxy/src/stages/parse.rs
@@ -7,6 +7,7 @@
 };
 use crate::call::{Body, Call};
 use crate::platform::client::{self, Reject};
+use crate::shutdown_deadline::ShutdownDeadline;
 use actix_http::Request;
 use futures_util::StreamExt;
 use olivecart_decisions::{ClassId, TenantId};
@@ -14,7 +15,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::time::timeout;
+use tokio::time::sleep;
 
 /// The bytes of a long body that are buffered before an endpoint is chosen. From then on, a client that sends
 /// slowly occupies one of the endpoint's few connections.
@@ -27,6 +28,7 @@
     mut request: Request,
     site: &RefCell<Site>,
     body_memory: &Rc<BodyMemoryLimit>,
+    shutdown: &ShutdownDeadline,
 ) -> Result<Call, Reject> {
     let fields = client::fields(request.head())?;
     let (class, time_left) = {
@@ -35,7 +37,7 @@
         let class_deadline = || Duration::from_nanos(site.settings.classes[class as usize].client_deadline);
         (ClassId(class as u16), fields.time_left.unwrap_or_else(class_deadline))
     };
-    let body = read_body(&mut request, fields.length, time_left, body_memory).await?;
+    let body = read_body(&mut request, fields.length, time_left, body_memory, shutdown).await?;
     let deadline = Instant::now() + time_left;
     let tenant = fields.tenant.and_then(|t| site.borrow().tenants.get(&t)).map(|t| TenantId(t as u16));
     let payload = Rc::new(client::payload(request.head(), body));
@@ -48,6 +50,7 @@
     length: Option<u64>,
     client_timeout: Duration,
     body_memory: &Rc<BodyMemoryLimit>,
+    shutdown: &ShutdownDeadline,
 ) -> Result<Body, Reject> {
     let mut stream = request.take_payload();
     let (mut buffered, mut reservation): (BufferedBody, Option<BodyMemoryReservation>) = Default::default();
@@ -55,9 +58,7 @@
         buffered.push(chunk.map_err(|_| Reject::Broken)?);
         let received_bytes = buffered.len();
         if received_bytes > MAX_BUFFERED_BYTES && reservation.is_none() {
-            let reserved =
-                timeout(MEMORY_TIMEOUT, body_memory.reserve(READ_AHEAD_BYTES + MAX_IN_TRANSIT_BYTES)).await;
-            reservation = Some(reserved.map_err(|_| Reject::NoRoom)?);
+            reservation = Some(reserve_memory(body_memory, shutdown).await?);
         }
         // A body that is known to exceed the read-ahead is streamed at once.
         let is_long = received_bytes > READ_AHEAD_BYTES
@@ -75,3 +76,20 @@
     }
     Ok(Body::Buffered { bytes: buffered.bytes(), _reservation: reservation })
 }
+
+/// Reserves the memory of a long body. A client whose last byte is in the system's buffers already has sent its
+/// whole request, so that it must have a response before the end of a shutdown.
+async fn reserve_memory(
+    body_memory: &Rc<BodyMemoryLimit>,
+    shutdown: &ShutdownDeadline,
+) -> Result<BodyMemoryReservation, Reject> {
+    tokio::select! {
+        biased;
+        reservation = body_memory.reserve(READ_AHEAD_BYTES + MAX_IN_TRANSIT_BYTES) => Ok(reservation),
+        () = sleep(MEMORY_TIMEOUT) => Err(Reject::NoRoom),
+        () = shutdown.reached() => Err(Reject::NoRoom),
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/proxy/src/stages/response.rs
+++ b/crates/proxy/src/stages/response.rs
@@ -1,8 +1,11 @@
-//! Waits for the verdict on an admitted request, or fails the request if the balancer gives none in time.
+//! Waits for the verdict on an admitted request, or ends the request if the balancer gives none in time.
 
 use super::admission::AdmittedRequest;
+use crate::bodies::RequestBody;
 use crate::call::Verdict;
-use std::time::Duration;
+use crate::shutdown_deadline::ShutdownDeadline;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 use tokio::time::sleep_until;
 
 /// Without a verdict, the proxy responds itself this long before the client's deadline.
@@ -10,20 +13,39 @@
 
 /// Returns the verdict, or `None` if the client disconnects first. A response that is streamed has only begun
 /// when this returns.
-pub async fn wait(request: &mut AdmittedRequest, disconnected: impl Future<Output = ()>) -> Option<Verdict> {
+pub async fn wait(
+    request: &mut AdmittedRequest,
+    disconnected: impl Future<Output = ()>,
+    shutdown: &ShutdownDeadline,
+) -> Option<Verdict> {
     let (deadline, upload) = (request.deadline, request.upload.clone());
-    let overdue = async {
-        // The time of a streamed request runs from its last byte.
-        let deadline = match upload {
-            Some(upload) => upload.wait_for_end().await,
-            None => deadline,
-        };
-        sleep_until(deadline.checked_sub(RESPONSE_MARGIN).unwrap_or(deadline).into()).await;
-    };
     tokio::select! {
         biased;
         verdict = request.verdict() => Some(verdict),
         () = disconnected => None,
-        () = overdue => Some(Verdict::Overdue),
+        verdict = time_out(deadline, upload, shutdown) => Some(verdict),
     }
 }
+
+/// Waits until the time of a request is over, and returns its verdict. `deadline` is that of a request without a
+/// streamed body: it was limited by a shutdown when the request was dispatched.
+async fn time_out(
+    deadline: Instant,
+    upload: Option<Rc<RequestBody>>,
+    shutdown: &ShutdownDeadline,
+) -> Verdict {
+    let Some(upload) = upload else { return time_out_at(deadline).await };
+    // The time of a streamed request runs from its last byte. A shutdown may begin before that, and end before
+    // the client's time does.
+    tokio::select! {
+        biased;
+        deadline = upload.wait_for_end() => time_out_at(shutdown.limit(deadline)).await,
+        // No endpoint executes a request without its last byte.
+        () = shutdown.reached() => Verdict::Refused { retry_after: Duration::ZERO },
+    }
+}
+
+async fn time_out_at(deadline: Instant) -> Verdict {
+    sleep_until(deadline.checked_sub(RESPONSE_MARGIN).unwrap_or(deadline).into()).await;
+    Verdict::Overdue
+}
