Let clusters that repeat responses rest again, and health checks wait for quiet

By reading, after: where one in twenty responses was the same as the one before, eight different ones in a row come often, and a response of its own would be taken for a copy now and then; the request times out. Health checks have responses that are all alike, so that two in a row on a connection could do the same.

Change: once two responses in a row were the same, or none followed a dropped one within the attempt's time, 10,000 different ones in a row are needed in place of eight. An attempt that was cancelled after a copy was dropped no longer counts as one without a response.

Evidence: backends/response_variety/tests.rs.

--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -270,13 +270,26 @@
     /// # Errors
     /// The endpoint has no known address, or a limit on connections is reached.
     pub fn lease(&self, endpoint: EndpointId) -> Result<Lease, LeaseError> {
+        self.lease_connection(endpoint, self.response_variety.borrow().is_high())
+    }
+
+    /// Leases a connection for a health check. Its responses are all alike, so that a copy of one would not be
+    /// recognised.
+    ///
+    /// # Errors
+    /// As of [`lease`](Self::lease).
+    pub fn lease_for_health_check(&self, endpoint: EndpointId) -> Result<Lease, LeaseError> {
+        self.lease_connection(endpoint, false)
+    }
+
+    fn lease_connection(&self, endpoint: EndpointId, recognises_copies: bool) -> Result<Lease, LeaseError> {
         let target = self.target(endpoint).ok_or(LeaseError::NoAddress(endpoint))?;
-        if let Some(lease) = self.lease_idle(endpoint, MaxWait::ConnectTime) {
+        if let Some(lease) = self.lease_idle(endpoint, MaxWait::ConnectTime, recognises_copies) {
             return Ok(lease);
         }
         let is_at_cluster_limit = self.connections() >= self.max_connections.get();
         if (is_at_cluster_limit || self.descriptors.is_at_limit())
-            && let Some(lease) = self.lease_idle(endpoint, MaxWait::QuietPeriod)
+            && let Some(lease) = self.lease_idle(endpoint, MaxWait::QuietPeriod, recognises_copies)
         {
             return Ok(lease);
         }
@@ -297,10 +310,9 @@
         Some(Target { endpoint, addr: backend.addr?, started: backend.started })
     }
 
-    fn lease_idle(&self, endpoint: EndpointId, max_wait: MaxWait) -> Option<Lease> {
+    fn lease_idle(&self, endpoint: EndpointId, max_wait: MaxWait, recognises_copies: bool) -> Option<Lease> {
         let mut table = self.table.0.borrow_mut();
         let (idle, now) = (&mut table.get_mut(endpoint.0 as usize)?.idle, Instant::now());
-        let recognises_copies = self.response_variety.borrow().is_high();
         idle.close_expired(now, self.idle_lifetime);
         let ReusedConnection { connection, usable_at, may_receive_copy } =
             idle.take(now, max_wait, recognises_copies)?;
@@ -334,7 +346,7 @@
         self.response_variety.borrow_mut().on_response(monitor.last_response());
     }
 
-    /// Records that there was no response to the request on a connection.
+    /// Records that no response to the request on a connection was received in time.
     pub fn on_response_missing(&self, monitor: &ResponseMonitor) {
         if monitor.has_dropped_copy() {
             self.response_variety.borrow_mut().on_response_missing();
--- a/crates/proxy/src/backends/response_variety.rs
+++ b/crates/proxy/src/backends/response_variety.rs
@@ -2,15 +2,20 @@
 
 use crate::response_digest::ResponseDigest;
 
-/// After so many responses in a row that differed from the one before, other ones are expected to differ too. It
-/// is high enough that a cluster with few different responses hardly ever reaches it.
+/// After so many responses in a row that differed from the one before, other ones are expected to differ too.
 const MIN_DISTINCT_IN_A_ROW: u32 = 8;
 
+/// The same for a cluster that gave the same response twice in a row. A request whose response is mistaken for a
+/// copy times out, so that this is to happen to hardly any request.
+const MIN_DISTINCT_AFTER_REPETITION: u32 = 10_000;
+
 /// The successful responses of a cluster. Its endpoints run the same service, so that all of them count together.
 #[derive(Debug, Default)]
 pub struct ResponseVariety {
     last_response: Option<ResponseDigest>,
     distinct_in_a_row: u32,
+    /// Whether a response ever was the same as the one before.
+    has_repeated: bool,
 }
 
 impl ResponseVariety {
@@ -18,21 +23,28 @@
     pub fn on_response(&mut self, response: Option<ResponseDigest>) {
         let Some(response) = response else { return };
         let previous = self.last_response.replace(response);
-        self.distinct_in_a_row = match previous {
-            Some(previous) if previous != response => self.distinct_in_a_row.saturating_add(1),
-            _ => 0,
-        };
+        match previous {
+            Some(previous) if previous == response => self.on_repetition(),
+            Some(_) => self.distinct_in_a_row = self.distinct_in_a_row.saturating_add(1),
+            None => {}
+        }
     }
 
     /// Records that a response was dropped as a copy, and no other followed: an endpoint may have given the same
     /// response to two requests.
     pub fn on_response_missing(&mut self) {
+        self.on_repetition();
+    }
+
+    fn on_repetition(&mut self) {
         self.distinct_in_a_row = 0;
+        self.has_repeated = true;
     }
 
     /// Whether a response that equals the one before it is more likely a copy than a response of its own.
     pub fn is_high(&self) -> bool {
-        self.distinct_in_a_row >= MIN_DISTINCT_IN_A_ROW
+        let minimum = if self.has_repeated { MIN_DISTINCT_AFTER_REPETITION } else { MIN_DISTINCT_IN_A_ROW };
+        self.distinct_in_a_row >= minimum
     }
 }
 
--- a/crates/proxy/src/backends/response_variety/tests.rs
+++ b/crates/proxy/src/backends/response_variety/tests.rs
@@ -1,10 +1,10 @@
 use super::*;
 use crate::response_digest::DigestBuilder;
 
-fn respond(variety: &mut ResponseVariety, responses: impl IntoIterator<Item = u8>) {
+fn respond(variety: &mut ResponseVariety, responses: impl IntoIterator<Item = u32>) {
     for response in responses {
         let mut digest = DigestBuilder::default();
-        digest.push(&[response]);
+        digest.push(&response.to_be_bytes());
         variety.on_response(digest.digest());
     }
 }
@@ -20,7 +20,7 @@
 }
 
 #[test]
-fn variety_is_low_after_the_same_response_or_a_missing_one() {
+fn variety_is_low_for_long_after_the_same_response_or_a_missing_one() {
     for is_missing in [false, true] {
         let mut variety = ResponseVariety::default();
         respond(&mut variety, 0..9);
@@ -29,9 +29,9 @@
         } else {
             respond(&mut variety, [8]);
         }
-        respond(&mut variety, 9..16);
+        respond(&mut variety, 9..10_008);
         assert!(!variety.is_high());
-        respond(&mut variety, [16]);
+        respond(&mut variety, [10_008]);
         assert!(variety.is_high());
     }
 }
@@ -39,6 +39,6 @@
 #[test]
 fn constant_responses_never_make_the_variety_high() {
     let mut variety = ResponseVariety::default();
-    respond(&mut variety, [0; 100]);
+    respond(&mut variety, [0; 20_000]);
     assert!(!variety.is_high());
 }
--- a/crates/proxy/src/stages/attempt.rs
+++ b/crates/proxy/src/stages/attempt.rs
@@ -106,7 +106,7 @@
             }
         }
     };
-    if result.response.is_none()
+    if result.outcome == Outcome::Timeout
         && let Some(monitor) = &monitor
     {
         context.backends.on_response_missing(monitor);
@@ -520,7 +520,7 @@
 /// could not be sent for want of local resources.
 pub async fn health_check(context: Rc<Context>, endpoint: EndpointId) {
     let began = Instant::now();
-    let lease = context.backends.lease(endpoint);
+    let lease = context.backends.lease_for_health_check(endpoint);
     let check = async {
         match lease {
             Ok(lease) => run_health_check(&context, lease).await.unwrap_or_else(AttemptResult::from),
