Compare responses with the one before of the same endpoint

Cause: compares each response with the last one of the whole cluster. The test's endpoints answer with their names, so that eight in a row differed, and on each connection all are the same: responses of their own were dropped as copies, and the requests timed out.

Change: `ResponseVariety` is told the endpoint's response before; its count is still the cluster's.

--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -341,9 +341,15 @@
         }
     }
 
-    /// Records the last response on a connection, which reports success.
-    pub fn on_response(&self, monitor: &ResponseMonitor) {
-        self.response_variety.borrow_mut().on_response(monitor.last_response());
+    /// Records the last response on a connection, which reports success. A long one tells nothing.
+    pub fn on_response(&self, endpoint: EndpointId, monitor: &ResponseMonitor) {
+        let mut table = self.table.0.borrow_mut();
+        if let Some(backend) = table.get_mut(endpoint.0 as usize)
+            && let Some(response) = monitor.last_response()
+            && let Some(previous) = backend.idle.replace_last_response(response)
+        {
+            self.response_variety.borrow_mut().on_response(previous, response);
+        }
     }
 
     /// Records that no response to the request on a connection was received in time.
--- a/crates/proxy/src/backends/idle_pool.rs
+++ b/crates/proxy/src/backends/idle_pool.rs
@@ -9,6 +9,7 @@
 //! ([`ResponseVariety`](super::response_variety::ResponseVariety)): from others, the response to the next request
 //! may have the same bytes as well.
 
+use crate::response_digest::ResponseDigest;
 use std::time::{Duration, Instant};
 
 /// The time without received bytes after a response, from which on no copy of it is expected. Endpoints repeat
@@ -24,6 +25,8 @@
     connections: Vec<IdleConnection<T>>,
     /// How long it took to establish the last connection.
     connect_time: Duration,
+    /// The last successful response on any connection, unless it was long.
+    last_response: Option<ResponseDigest>,
     /// When excess bytes were last reported.
     reported_at: Option<Instant>,
 }
@@ -64,7 +67,12 @@
 
 impl<T> Default for IdlePool<T> {
     fn default() -> IdlePool<T> {
-        IdlePool { connections: Vec::new(), connect_time: Duration::ZERO, reported_at: None }
+        IdlePool {
+            connections: Vec::new(),
+            connect_time: Duration::ZERO,
+            last_response: None,
+            reported_at: None,
+        }
     }
 }
 
@@ -123,6 +131,11 @@
         self.connect_time = connect_time;
     }
 
+    /// Records a successful response, and returns the one before it.
+    pub fn replace_last_response(&mut self, response: ResponseDigest) -> Option<ResponseDigest> {
+        self.last_response.replace(response)
+    }
+
     /// Whether bytes after the end of a response are to be reported, at `now`.
     pub fn is_report_due(&mut self, now: Instant) -> bool {
         let is_due = self.reported_at.is_none_or(|at| now.saturating_duration_since(at) >= REPORT_INTERVAL);
--- a/crates/proxy/src/backends/response_variety.rs
+++ b/crates/proxy/src/backends/response_variety.rs
@@ -1,32 +1,32 @@
 //! Whether the endpoints of a cluster give the same response again and again, or hardly ever.
+//!
+//! Each response is compared with the one before of the same endpoint: endpoints that put their own names into
+//! all responses give different ones as a cluster, and the same ones on each connection.
 
 use crate::response_digest::ResponseDigest;
 
-/// After so many responses in a row that differed from the one before, other ones are expected to differ too.
+/// After so many responses in a row that differed from their endpoint's one before, others are expected to differ.
 const MIN_DISTINCT_IN_A_ROW: u32 = 8;
 
-/// The same for a cluster that gave the same response twice in a row. A request whose response is mistaken for a
+/// The same for a cluster of which an endpoint gave the same response twice in a row. A request whose response is mistaken for a
 /// copy times out, so that this is to happen to hardly any request.
 const MIN_DISTINCT_AFTER_REPETITION: u32 = 10_000;
 
-/// The successful responses of a cluster. Its endpoints run the same service, so that all of them count together.
+/// The successful responses of a cluster. Its endpoints run the same service, so that they count together.
 #[derive(Debug, Default)]
 pub struct ResponseVariety {
-    last_response: Option<ResponseDigest>,
     distinct_in_a_row: u32,
-    /// Whether a response ever was the same as the one before.
+    /// Whether an endpoint ever gave the same response twice in a row.
     has_repeated: bool,
 }
 
 impl ResponseVariety {
-    /// Records a successful response. Without a digest it tells nothing.
-    pub fn on_response(&mut self, response: Option<ResponseDigest>) {
-        let Some(response) = response else { return };
-        let previous = self.last_response.replace(response);
-        match previous {
-            Some(previous) if previous == response => self.on_repetition(),
-            Some(_) => self.distinct_in_a_row = self.distinct_in_a_row.saturating_add(1),
-            None => {}
+    /// Records a successful response of an endpoint, and the one before it.
+    pub fn on_response(&mut self, previous: ResponseDigest, response: ResponseDigest) {
+        if previous == response {
+            self.on_repetition();
+        } else {
+            self.distinct_in_a_row = self.distinct_in_a_row.saturating_add(1);
         }
     }
 
--- a/crates/proxy/src/stages/attempt.rs
+++ b/crates/proxy/src/stages/attempt.rs
@@ -234,7 +234,7 @@
             let outcome = backend::outcome(head.status, &head.headers);
             let load = backend::load_report(&head.headers);
             if head.status.is_success() {
-                context.backends.on_response(&monitor);
+                context.backends.on_response(target.endpoint, &monitor);
             }
             let forwarded = || EndpointResponse {
                 status: head.status,
