Split the response monitor's longest function, and HTTP clients from the backends

`split_messages` (74 lines) is three functions with typed results; its errors have a type in place of `()`. `backends.rs` no longer builds awc's clients (`http_client.rs`).

--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -11,31 +11,22 @@
 use crate::bodies::MAX_BODY_BYTES;
 use crate::connect::{Connect, ConnectFailure, SystemConnect};
 use crate::descriptors::{Descriptors, IdleConnectionPool, OpenConnection};
+use crate::http_client::{self, Established};
 use crate::response_monitor::ResponseMonitor;
-use crate::wire::ObservedStream;
-use actix_service::fn_service;
-use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
-use awc::http::Uri;
-use awc::{Client, Connector};
+use awc::Client;
 use olivecart_decisions::EndpointId;
 use slog::{Logger, debug, warn};
 use std::cell::{Cell, RefCell};
 use std::fmt;
-use std::future::{Future, ready};
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::net::TcpStream;
 use tokio::time::{sleep_until, timeout};
 
 /// The fraction of the endpoint's idle timeout for which a connection is kept. A request that is written
 /// while the endpoint closes the connection may have been executed, so that it can't be retried.
 const IDLE_LIFETIME_FRACTION: f64 = 0.8;
 
-/// The connect timeout of clients whose connection is already established, so that they never wait.
-const HANDOVER_TIMEOUT: Duration = Duration::from_secs(60);
-
 /// A process at an endpoint, as it was listed when the connection was leased.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Target {
@@ -77,9 +68,6 @@
     _open: [OpenConnection; 2],
 }
 
-/// Passes an established connection to the client that uses it.
-type Established = Rc<RefCell<Option<TcpStream>>>;
-
 impl fmt::Debug for Lease {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         f.debug_struct("Lease")
@@ -395,7 +383,7 @@
         let monitor = Rc::new(ResponseMonitor::new(MAX_BODY_BYTES as usize));
         let established = Established::default();
         Lease {
-            client: client_for(&established, &monitor),
+            client: http_client::for_established(&established, &monitor),
             target,
             monitor,
             reused: false,
@@ -408,52 +396,5 @@
     }
 }
 
-/// Creates a client that uses the connection established for it. If its pooled connection was closed and none
-/// is established, a request fails with `ConnectError::Io` and nothing is sent.
-fn client_for(established: &Established, monitor: &Rc<ResponseMonitor>) -> Client {
-    let (established, monitor) = (established.clone(), monitor.clone());
-    plain_client(HANDOVER_TIMEOUT, move || {
-        let connection =
-            established.take().map(|stream| ObservedStream { stream, observer: monitor.clone() });
-        ready(connection.ok_or_else(|| io::Error::from(io::ErrorKind::NotConnected)))
-    })
-}
-
-/// Creates a client that connects to one address when it sends a request.
-pub fn client(addr: SocketAddr, connect_timeout: Duration, monitor: &Rc<ResponseMonitor>) -> Client {
-    let monitor = monitor.clone();
-    plain_client(connect_timeout, move || {
-        let monitor = monitor.clone();
-        async move {
-            let stream = TcpStream::connect(addr).await?;
-            let _ = stream.set_nodelay(true);
-            monitor.on_connected();
-            Ok(ObservedStream { stream, observer: monitor })
-        }
-    })
-}
-
-/// Creates an awc client without response timeouts, redirects, default headers, and without a graceful
-/// shutdown of dropped connections.
-fn plain_client<F>(connect_timeout: Duration, connect: impl Fn() -> F + Clone + 'static) -> Client
-where
-    F: Future<Output = io::Result<ObservedStream<ResponseMonitor>>> + 'static,
-{
-    let service = fn_service(move |info: ConnectInfo<Uri>| {
-        let connecting = connect();
-        async move {
-            let wire = connecting.await.map_err(ConnectError::Io)?;
-            Ok::<_, ConnectError>(Connection::new(info.request().clone(), wire))
-        }
-    });
-    let connector = Connector::new()
-        .connector(service)
-        .timeout(connect_timeout)
-        .conn_lifetime(Duration::from_secs(86_400))
-        .conn_keep_alive(Duration::from_secs(86_400))
-        .disconnect_timeout(Duration::ZERO);
-    Client::builder().connector(connector).disable_timeout().disable_redirects().no_default_headers().finish()
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/proxy/src/discovery/mod.rs
+++ b/crates/proxy/src/discovery/mod.rs
@@ -8,7 +8,7 @@
 mod lines;
 mod watch;
 
-use crate::backends;
+use crate::http_client;
 use crate::membership::ListUpdate;
 use crate::platform::registry;
 use crate::response_monitor::ResponseMonitor;
@@ -232,7 +232,8 @@
     async fn call(self: Rc<Self>, query: Query, id: CallId) -> Result<(), CallEnd> {
         let address = self.address.get();
         let target = self.target(query);
-        let client = backends::client(address, CLIENT_TIMEOUT, &Rc::new(ResponseMonitor::new(usize::MAX)));
+        let client =
+            http_client::connecting_to(address, CLIENT_TIMEOUT, &Rc::new(ResponseMonitor::new(usize::MAX)));
         debug!(self.log, "discovery call started"; "peer" => %address, "target" => &target);
         let uri = Uri::builder().scheme("http").authority(address.to_string()).path_and_query(&*target);
         let request = client.get(uri.build().unwrap_or_default()).no_decompress();
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -23,6 +23,7 @@
 mod descriptors;
 mod discovery;
 mod hot_restart;
+mod http_client;
 mod interrupted;
 mod invariant;
 mod latency;
--- a/crates/proxy/src/response_monitor.rs
+++ b/crates/proxy/src/response_monitor.rs
@@ -14,6 +14,7 @@
 use crate::response_digest::{DigestBuilder, ResponseDigest};
 use crate::stats::Stats;
 use crate::wire::{Peek, Socket, StreamObserver, uninterrupted};
+use actix_http::error::{ParseError, PayloadError};
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, MessageType};
 use actix_http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use actix_http::{ResponseHead, StatusCode, Version};
@@ -106,6 +107,39 @@
     Body(ClientPayloadCodec),
 }
 
+/// What the next received bytes are.
+enum Split {
+    /// Not enough of them were received yet.
+    Incomplete,
+    /// An interim response.
+    Interim {
+        /// Its length in bytes.
+        length: usize,
+    },
+    /// The head of a final response, or a part of its body.
+    Response {
+        /// Its length in bytes.
+        length: usize,
+    },
+}
+
+/// The received bytes are not a valid response, or it is too long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("malformed HTTP response")]
+struct MalformedResponse;
+
+impl From<ParseError> for MalformedResponse {
+    fn from(_: ParseError) -> MalformedResponse {
+        MalformedResponse
+    }
+}
+
+impl From<PayloadError> for MalformedResponse {
+    fn from(_: PayloadError) -> MalformedResponse {
+        MalformedResponse
+    }
+}
+
 impl fmt::Debug for ResponseMonitor {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         f.debug_struct("ResponseMonitor").field("connected", &self.connected).finish_non_exhaustive()
@@ -222,73 +256,28 @@
     }
 
     /// Splits the received bytes into heads and bodies. Fails if they are not a valid response.
-    fn split_messages(&self, reading: &mut Reading) -> Result<(), ()> {
+    fn split_messages(&self, reading: &mut Reading) -> Result<(), MalformedResponse> {
         while !reading.raw.is_empty() {
-            // Decoded from a copy, since the bytes are passed on as they were received.
-            let mut rest = reading.raw.clone();
-            let mut is_interim = false;
-            match &mut reading.phase {
+            let split = match reading.phase {
                 Phase::Idle => {
-                    self.has_excess_bytes.set(true);
-                    self.excess_noticed.set(true);
+                    self.on_excess_bytes();
                     reading.raw.clear();
                     return Ok(());
                 }
-                Phase::Head => {
-                    let mut codec = ClientCodec::default();
-                    let Some(mut head) = codec.decode(&mut rest).map_err(drop)? else {
-                        let too_long = reading.length + reading.raw.len() > MAX_HEAD_BYTES;
-                        return if too_long { Err(()) } else { Ok(()) };
-                    };
-                    if self.ends_with_connection(&codec, &head) {
-                        // actix-http and awc read a body to the end of the connection for HTTP/1.0 only, so
-                        // that the head is passed on with this version.
-                        reading.raw[..HTTP_1_0.len()].copy_from_slice(HTTP_1_0);
-                        (codec, rest) = (ClientCodec::default(), reading.raw.clone());
-                        head = codec.decode(&mut rest).map_err(drop)?.ok_or(())?;
-                    }
-                    is_interim = head.status.is_informational() && head.status.as_u16() != 101;
-                    if self.is_premature(head.status) {
-                        return Err(());
-                    }
-                    reading.length += reading.raw.len() - rest.len();
-                    if is_interim && reading.length > MAX_HEAD_BYTES {
-                        return Err(());
-                    }
-                    if !is_interim {
-                        let has_no_body =
-                            self.expects_no_body.get() || matches!(codec.message_type(), MessageType::None);
-                        let body = || Phase::Body(codec.into_payload_codec());
-                        (reading.phase, reading.length) = (if has_no_body { Phase::Idle } else { body() }, 0);
-                        reading.is_success = head.status.is_success();
-                        reading.digest.reset();
+                Phase::Head => self.split_head(reading)?,
+                Phase::Body(_) => self.split_body(reading)?,
+            };
+            match split {
+                Split::Incomplete => return Ok(()),
+                Split::Interim { length } => _ = reading.raw.split_to(length),
+                Split::Response { length } => {
+                    let bytes = reading.raw.split_to(length);
+                    reading.decoded.extend_from_slice(&bytes);
+                    reading.digest.push(&bytes);
+                    if matches!(reading.phase, Phase::Idle) {
+                        self.on_response_complete(reading);
                     }
                 }
-                Phase::Body(codec) => loop {
-                    match codec.decode(&mut rest).map_err(drop)? {
-                        Some(Some(chunk)) => reading.length += chunk.len(),
-                        Some(None) => {
-                            reading.phase = Phase::Idle;
-                            break;
-                        }
-                        None => break,
-                    }
-                    if reading.length > self.max_body_bytes {
-                        return Err(());
-                    }
-                },
-            }
-            let consumed = reading.raw.len() - rest.len();
-            let bytes = reading.raw.split_to(consumed);
-            if !is_interim {
-                reading.decoded.extend_from_slice(&bytes);
-                reading.digest.push(&bytes);
-            }
-            if matches!(reading.phase, Phase::Idle) {
-                self.on_response_complete(reading);
-            }
-            if consumed == 0 && matches!(reading.phase, Phase::Body(_)) {
-                return Ok(()); // the next chunk is not complete yet
             }
         }
         if !matches!(reading.phase, Phase::Body(_)) {
@@ -297,6 +286,66 @@
         Ok(())
     }
 
+    fn split_head(&self, reading: &mut Reading) -> Result<Split, MalformedResponse> {
+        // Decoded from a copy, since the bytes are passed on as they were received.
+        let mut rest = reading.raw.clone();
+        let mut codec = ClientCodec::default();
+        let Some(mut head) = codec.decode(&mut rest)? else {
+            let too_long = reading.length + reading.raw.len() > MAX_HEAD_BYTES;
+            return if too_long { Err(MalformedResponse) } else { Ok(Split::Incomplete) };
+        };
+        if self.ends_with_connection(&codec, &head) {
+            // actix-http and awc read a body to the end of the connection for HTTP/1.0 only, so that the head is
+            // passed on with this version.
+            reading.raw[..HTTP_1_0.len()].copy_from_slice(HTTP_1_0);
+            (codec, rest) = (ClientCodec::default(), reading.raw.clone());
+            head = codec.decode(&mut rest)?.ok_or(MalformedResponse)?;
+        }
+        if self.is_premature(head.status) {
+            return Err(MalformedResponse);
+        }
+        let length = reading.raw.len() - rest.len();
+        reading.length += length;
+        if head.status.is_informational() && head.status != StatusCode::SWITCHING_PROTOCOLS {
+            let too_long = reading.length > MAX_HEAD_BYTES;
+            return if too_long { Err(MalformedResponse) } else { Ok(Split::Interim { length }) };
+        }
+        let has_no_body = self.expects_no_body.get() || matches!(codec.message_type(), MessageType::None);
+        reading.phase = if has_no_body { Phase::Idle } else { Phase::Body(codec.into_payload_codec()) };
+        reading.length = 0;
+        reading.is_success = head.status.is_success();
+        reading.digest.reset();
+        Ok(Split::Response { length })
+    }
+
+    fn split_body(&self, reading: &mut Reading) -> Result<Split, MalformedResponse> {
+        let Phase::Body(codec) = &mut reading.phase else { return Ok(Split::Incomplete) };
+        let mut rest = reading.raw.clone();
+        let mut is_complete = false;
+        while let Some(chunk) = codec.decode(&mut rest)? {
+            let Some(chunk) = chunk else {
+                is_complete = true;
+                break;
+            };
+            reading.length += chunk.len();
+            if reading.length > self.max_body_bytes {
+                return Err(MalformedResponse);
+            }
+        }
+        let length = reading.raw.len() - rest.len();
+        if is_complete {
+            reading.phase = Phase::Idle;
+        } else if length == 0 {
+            return Ok(Split::Incomplete); // the next chunk is not complete yet
+        }
+        Ok(Split::Response { length })
+    }
+
+    fn on_excess_bytes(&self) {
+        self.has_excess_bytes.set(true);
+        self.excess_noticed.set(true);
+    }
+
     /// Drops a copy of the previous response, or records this one.
     fn on_response_complete(&self, reading: &mut Reading) {
         let digest = reading.digest.digest();
@@ -343,7 +392,7 @@
     }
 
     fn malformed_response_error() -> Poll<io::Result<()>> {
-        Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, "malformed HTTP response")))
+        Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, MalformedResponse)))
     }
 }
 
