Rest for 5 ms again at endpoints that closed kept connections

Change: `IdlePool` keeps when an endpoint closed a kept connection, and for an idle lifetime after that its connections rest for 5 ms, as before.

Evidence: backends/idle_pool/tests.rs, connection_rests_for_a_moment_at_an_endpoint_that_closed_one_lately; the code before has nothing that it could call.

--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -347,6 +347,13 @@
         }
     }
 
+    /// Records that an endpoint closed a pooled connection.
+    pub fn on_pooled_connection_closed(&self, endpoint: EndpointId) {
+        if let Some(backend) = self.table.0.borrow_mut().get_mut(endpoint.0 as usize) {
+            backend.idle.on_pooled_connection_closed(Instant::now());
+        }
+    }
+
     /// Logs, from time to time, that an endpoint sent bytes after the end of a response.
     pub fn report_excess_bytes(&self, target: Target, monitor: &ResponseMonitor) {
         if !monitor.take_excess_noticed() {
--- a/crates/proxy/src/backends/idle_pool.rs
+++ b/crates/proxy/src/backends/idle_pool.rs
@@ -16,6 +16,10 @@
 /// responses, and close connections after them, some milliseconds late.
 pub const QUIET_PERIOD: Duration = Duration::from_millis(25);
 
+/// If a peer closes a connection right after a response, the close is noticed here within this time. It is waited
+/// for at endpoints that lately did so.
+const CLOSE_DETECTION_DELAY: Duration = Duration::from_millis(5);
+
 /// The minimum time between two reports of excess bytes from an endpoint.
 const REPORT_INTERVAL: Duration = Duration::from_secs(60);
 
@@ -27,6 +31,8 @@
     connect_time: Duration,
     /// The last successful response on any connection, unless it was long.
     last_response: Option<ResponseDigest>,
+    /// When the endpoint was last found to have closed a pooled connection.
+    closed_pooled_at: Option<Instant>,
     /// When excess bytes were last reported.
     reported_at: Option<Instant>,
 }
@@ -39,9 +45,11 @@
 }
 
 impl<T> IdleConnection<T> {
-    /// When a request may be written, if copies of a response that has a digest are recognised, or not.
-    fn usable_at(&self, recognises_copies: bool) -> Instant {
-        if recognises_copies && self.has_digest { self.since } else { self.since + QUIET_PERIOD }
+    /// When a request may be written. After a response that has a digest, it has to wait for `min_rest` only,
+    /// if copies are recognised.
+    fn usable_at(&self, recognises_copies: bool, min_rest: Duration) -> Instant {
+        let rest = if recognises_copies && self.has_digest { min_rest } else { QUIET_PERIOD };
+        self.since + rest
     }
 }
 
@@ -71,6 +79,7 @@
             connections: Vec::new(),
             connect_time: Duration::ZERO,
             last_response: None,
+            closed_pooled_at: None,
             reported_at: None,
         }
     }
@@ -96,7 +105,8 @@
         max_wait: MaxWait,
         recognises_copies: bool,
     ) -> Option<ReusedConnection<T>> {
-        let usable_at = |idle: &IdleConnection<T>| idle.usable_at(recognises_copies);
+        let min_rest = if self.closed_pooled_at.is_some() { CLOSE_DETECTION_DELAY } else { Duration::ZERO };
+        let usable_at = |idle: &IdleConnection<T>| idle.usable_at(recognises_copies, min_rest);
         let usable_now = self.connections.iter().rposition(|idle| usable_at(idle) <= now);
         let usable_first = || (0..self.len()).min_by_key(|index| usable_at(&self.connections[*index]));
         let index = usable_now.or_else(usable_first)?;
@@ -121,9 +131,16 @@
         }
     }
 
-    /// Closes the connections that have been idle for `lifetime`.
+    /// Closes the connections that have been idle for `lifetime`, and forgets closes that are as old.
     pub fn close_expired(&mut self, now: Instant, lifetime: Duration) {
-        self.connections.retain(|idle| now.saturating_duration_since(idle.since) < lifetime);
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < lifetime;
+        self.connections.retain(|idle| is_recent(&idle.since));
+        self.closed_pooled_at = self.closed_pooled_at.filter(is_recent);
+    }
+
+    /// Records that the endpoint closed a pooled connection.
+    pub fn on_pooled_connection_closed(&mut self, now: Instant) {
+        self.closed_pooled_at = Some(now);
     }
 
     /// Records how long it took to establish a connection.
--- a/crates/proxy/src/backends/idle_pool/tests.rs
+++ b/crates/proxy/src/backends/idle_pool/tests.rs
@@ -65,6 +65,21 @@
     assert_eq!(pool.take(start + QUIET_PERIOD, MaxWait::ConnectTime, true), None, "it has no digest");
 }
 
+/// Guards against a request on a connection that the endpoint is just closing, which can't be repeated.
+#[test]
+fn connection_rests_for_a_moment_at_an_endpoint_that_closed_one_lately() {
+    let (mut pool, start) = (IdlePool::default(), Instant::now());
+    pool.put("a", start, true);
+    pool.on_pooled_connection_closed(start);
+    let usable_at = start + CLOSE_DETECTION_DELAY;
+    assert_eq!(pool.take(start, MaxWait::ConnectTime, true), None);
+    let reused = pool.take(usable_at, MaxWait::ConnectTime, true);
+    assert_eq!(reused, Some(ReusedConnection { connection: "a", usable_at, may_receive_copy: true }));
+    pool.close_expired(start + LIFETIME, LIFETIME);
+    pool.put("b", start + LIFETIME, true);
+    assert!(pool.take(start + LIFETIME, MaxWait::ConnectTime, true).is_some(), "the close is forgotten");
+}
+
 #[test]
 fn connection_at_the_end_of_its_lifetime_is_closed() {
     let (mut pool, start) = pool(FAST_CONNECT);
--- a/crates/proxy/src/stages/attempt.rs
+++ b/crates/proxy/src/stages/attempt.rs
@@ -228,6 +228,9 @@
     };
     let reconnected = monitor.reconnected.take();
     let pooled_connection_broke = matches!(received, Err(Outcome::Reset)) && reused && !reconnected;
+    if pooled_connection_broke || reused && reconnected {
+        context.backends.on_pooled_connection_closed(target.endpoint);
+    }
     context.backends.report_excess_bytes(target, &monitor);
     match received {
         Ok((head, body, remainder)) => {
@@ -264,6 +267,9 @@
     for _ in 0..MAX_HEADS_PER_ATTEMPT {
         if needs_connection {
             connect(context, lease).await?;
+            if write_check.needs_new_head() {
+                lease.monitor.reconnected.set(false); // the endpoint had not closed the old connection
+            }
         }
         match wait_for_head(&lease.monitor, send_once(context, lease, write_check, payload)).await? {
             Ok(response) => return Ok(response),
