Review case 7: bodies of 64 KiB take the process over its memory limit

Cause: bodies up to 64 KiB are held whole in both directions without a limit on their sum, and the number of connections follows from limits.sockets alone.

--- a/review/standins-2/src/cases/mod.rs
+++ b/review/standins-2/src/cases/mod.rs
@@ -5,12 +5,14 @@
 use std::sync::Arc;
 
 mod copies;
+mod limit;
 
 pub type Case = fn(&Arc<World>, bool) -> Found;
 
 pub fn find(name: &str) -> Option<Case> {
     Some(match name {
         "copies" => copies::play,
+        "limit" => limit::play,
         _ => return None,
     })
 }
