Review case 8: a long answer with a false length reaches the client cut and whole by its framing

Cause: a streamed answer promises the client the Content-Length of the backend's head also where its body is read in chunks; the difference is found only after the client has that many bytes.

--- a/review/standins-2/src/cases/mod.rs
+++ b/review/standins-2/src/cases/mod.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 mod copies;
+mod lengths;
 mod limit;
 
 pub type Case = fn(&Arc<World>, bool) -> Found;
@@ -12,6 +13,7 @@
 pub fn find(name: &str) -> Option<Case> {
     Some(match name {
         "copies" => copies::play,
+        "lengths" => lengths::play,
         "limit" => limit::play,
         _ => return None,
     })
