Review case 9: long requests and their long answers wait for each other's memory

Cause: a long request holds its reservation of memory until it has ended, and its answer waits for another one without a limit but the deadline. When requests hold all of it, no answer is read on.

--- a/review/standins-2/src/cases/mod.rs
+++ b/review/standins-2/src/cases/mod.rs
@@ -7,6 +7,7 @@
 mod copies;
 mod lengths;
 mod limit;
+mod memory;
 
 pub type Case = fn(&Arc<World>, bool) -> Found;
 
@@ -15,6 +16,7 @@
         "copies" => copies::play,
         "lengths" => lengths::play,
         "limit" => limit::play,
+        "memory" => memory::play,
         _ => return None,
     })
 }
