Review case 10: a long answer is cut off when its backend pauses for 1.5 s

Cause: until the first 64 KiB of an answer are there, an attempt ends after 1 s without a byte, also where the answer is longer than that.

--- a/review/standins-2/src/cases/mod.rs
+++ b/review/standins-2/src/cases/mod.rs
@@ -8,6 +8,7 @@
 mod lengths;
 mod limit;
 mod memory;
+mod pause;
 
 pub type Case = fn(&Arc<World>, bool) -> Found;
 
@@ -17,6 +18,7 @@
         "lengths" => lengths::play,
         "limit" => limit::play,
         "memory" => memory::play,
+        "pause" => pause::play,
         _ => return None,
     })
 }
