--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -73,6 +73,26 @@
         }
     }
 
+    /// Waits, and returns true if nothing arrives meanwhile: no byte of another request, and no close.
+    pub fn is_quiet_for(&self, time: Duration) -> bool {
+        let until = Instant::now() + time;
+        while self.buffer.is_empty() && self.nothing_waits() {
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return true;
+            }
+            std::thread::sleep(left.min(Duration::from_micros(200)));
+        }
+        false
+    }
+
+    fn nothing_waits(&self) -> bool {
+        let _ = self.stream.set_nonblocking(true);
+        let seen = self.stream.peek(&mut [0]);
+        let _ = self.stream.set_nonblocking(false);
+        seen.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    }
+
     /// Reads more bytes. Returns false at the end of the stream.
     fn fill(&mut self, until: Instant) -> io::Result<bool> {
         let left = until.saturating_duration_since(Instant::now());
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -7,6 +7,7 @@
 mod discovery;
 mod http;
 mod proxy;
+mod relay;
 mod world;
 
 use std::path::Path;
