--- a/review/standins-2/src/cases/mod.rs
+++ b/review/standins-2/src/cases/mod.rs
@@ -4,9 +4,9 @@
 use crate::world::World;
 use std::sync::Arc;
 
+mod anew;
 mod copies;
 mod lengths;
-mod limit;
 mod memory;
 mod pause;
 
@@ -14,9 +14,9 @@
 
 pub fn find(name: &str) -> Option<Case> {
     Some(match name {
+        "anew" => anew::play,
         "copies" => copies::play,
         "lengths" => lengths::play,
-        "limit" => limit::play,
         "memory" => memory::play,
         "pause" => pause::play,
         _ => return None,
--- a/review/standins-2/src/proxy.rs
+++ b/review/standins-2/src/proxy.rs
@@ -102,7 +102,6 @@
     }
 
     /// A line of the process's status, such as `VmHWM`, in kB.
-    
     pub fn status_kb(&self, key: &str) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
         let line = status.lines().find(|line| line.starts_with(key)).unwrap_or("").to_string();
