--- a/review/standins-2/src/cases/anew.rs
+++ b/review/standins-2/src/cases/anew.rs
@@ -13,9 +13,9 @@
 /// How late the second answer comes.
 const LATE: Duration = Duration::from_millis(7);
 /// One answer in so many comes a second time.
-const SHARE: usize = 10;
+const SHARE: usize = 5;
 /// How long bytes are on their way between the proxy and a backend.
-const NETWORK: Duration = Duration::from_millis(4);
+const NETWORK: Duration = Duration::from_micros(750);
 /// How often a backend's load report is refreshed.
 const REFRESH_MS: f64 = 60.0;
 const LENGTH: Duration = Duration::from_secs(25);
