--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -10,8 +10,9 @@
 use self::response_variety::ResponseVariety;
 use crate::bodies::MAX_BODY_BYTES;
 use crate::connect::{Connect, ConnectFailure, SystemConnect};
-use crate::descriptors::{Descriptors, IdleConnectionPool, OpenConnection};
+use crate::descriptors::{ConnectionPermit, Descriptors, IdleConnectionPool, OpenConnection};
 use crate::http_client::{self, Established};
+use crate::memory::EndpointsCharge;
 use crate::response_monitor::ResponseMonitor;
 use awc::Client;
 use olivecart_decisions::EndpointId;
@@ -64,8 +65,10 @@
     established: Established,
     connect: Rc<dyn Connect>,
     connect_timeout: Duration,
-    /// Counts this connection among those of all clusters and those of this cluster.
-    _open: [OpenConnection; 2],
+    /// Counts this connection among those of all clusters.
+    _permit: ConnectionPermit,
+    /// Counts this connection among those of this cluster.
+    _open: OpenConnection,
 }
 
 impl fmt::Debug for Lease {
@@ -130,6 +133,8 @@
     idle_lifetime: Duration,
     /// The number of ready endpoints.
     ready_count: Cell<usize>,
+    /// The memory of the tables of endpoints.
+    table_memory: EndpointsCharge,
     /// The limit on connections of all clusters.
     descriptors: Rc<Descriptors>,
     /// The limit on connections of this cluster, idle ones included, and the counter of open ones.
@@ -170,6 +175,7 @@
             connect_timeout: Cell::new(connect_timeout),
             idle_lifetime: idle_timeout.mul_f64(IDLE_LIFETIME_FRACTION),
             ready_count: Cell::new(0),
+            table_memory: descriptors.memory().charge_endpoints(),
             descriptors,
             max_connections: Cell::new(usize::MAX),
             open: Rc::default(),
@@ -213,6 +219,7 @@
         let mut table = self.table.0.borrow_mut();
         if table.len() <= slot {
             table.resize_with(slot + 1, Backend::default);
+            self.table_memory.set(table.len());
         }
         let backend = &mut table[slot];
         if backend.addr != addr || backend.started != started || !ready {
@@ -288,8 +295,8 @@
             }
         }
         debug!(self.log, "connect"; "open" => self.connections(), "endpoint" => endpoint.0);
-        let descriptor = self.descriptors.acquire().ok_or(LeaseError::AtLimit(endpoint))?;
-        Ok(self.new_lease(target, [descriptor, self.open.clone()]))
+        let permit = self.descriptors.acquire().ok_or(LeaseError::AtLimit(endpoint))?;
+        Ok(self.new_lease(target, permit))
     }
 
     fn target(&self, endpoint: EndpointId) -> Option<Target> {
@@ -386,7 +393,7 @@
         }
     }
 
-    fn new_lease(&self, target: Target, open: [OpenConnection; 2]) -> Lease {
+    fn new_lease(&self, target: Target, permit: ConnectionPermit) -> Lease {
         let monitor = Rc::new(ResponseMonitor::new(MAX_BODY_BYTES as usize));
         let established = Established::default();
         Lease {
@@ -398,7 +405,8 @@
             established,
             connect: self.connect.clone(),
             connect_timeout: self.connect_timeout.get(),
-            _open: open,
+            _permit: permit,
+            _open: self.open.clone(),
         }
     }
 }
--- a/crates/proxy/src/backends/tests.rs
+++ b/crates/proxy/src/backends/tests.rs
@@ -3,8 +3,12 @@
 #[test]
 fn requests_are_taken_while_any_endpoint_is_listed_as_ready() {
     let log = Logger::root(slog::Discard, slog::o!());
-    let backends =
-        Backends::new(Duration::from_secs(1), Duration::from_secs(1), Rc::new(Descriptors::new(1)), log);
+    let backends = Backends::new(
+        Duration::from_secs(1),
+        Duration::from_secs(1),
+        Rc::new(Descriptors::new(1, Rc::default())),
+        log,
+    );
     let update = |id, ready| backends.update_endpoint(EndpointId(id), None, None, ready);
     assert!(!backends.any_takes_requests());
     update(3, true);
@@ -28,7 +32,7 @@
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let log = Logger::root(slog::Discard, slog::o!());
         let second = Duration::from_secs(1);
-        let backends = Backends::new(second, second, Rc::new(Descriptors::new(1)), log);
+        let backends = Backends::new(second, second, Rc::new(Descriptors::new(1, Rc::default())), log);
         backends.update_endpoint(EndpointId(0), listener.local_addr().ok(), None, true);
         let lease = backends.lease(EndpointId(0)).expect("the endpoint is listed");
         lease.connect().await.expect("connected");
--- a/crates/proxy/src/bodies/buffered_body.rs
+++ b/crates/proxy/src/bodies/buffered_body.rs
@@ -7,19 +7,28 @@
 pub struct BufferedBody {
     first: Bytes,
     joined: BytesMut,
+    /// The capacity that is allocated for several chunks.
+    expected_bytes: usize,
 }
 
 impl BufferedBody {
+    /// Sets the length that the body will have if it has several chunks. Its memory is then allocated once.
+    pub fn expect_bytes(&mut self, expected_bytes: usize) {
+        self.expected_bytes = expected_bytes;
+    }
+
     /// Appends a chunk.
     pub fn push(&mut self, chunk: Bytes) {
-        match (self.first.is_empty(), self.joined.is_empty()) {
-            (true, true) => self.first = chunk,
-            (_, true) => {
-                self.joined.extend_from_slice(&std::mem::take(&mut self.first));
-                self.joined.extend_from_slice(&chunk);
-            }
-            _ => self.joined.extend_from_slice(&chunk),
+        if self.joined.is_empty() && self.first.is_empty() {
+            self.first = chunk;
+            return;
+        }
+        if self.joined.is_empty() {
+            let first = std::mem::take(&mut self.first);
+            self.joined.reserve(self.expected_bytes.max(first.len() + chunk.len()));
+            self.joined.extend_from_slice(&first);
         }
+        self.joined.extend_from_slice(&chunk);
     }
 
     /// The number of bytes received so far.
--- a/crates/proxy/src/bodies/request_body.rs
+++ b/crates/proxy/src/bodies/request_body.rs
@@ -1,7 +1,7 @@
 //! A request body that is streamed to an endpoint. Its start is buffered, so that a retry can send it again.
 
-use super::MAX_BODY_BYTES;
-use super::memory_limit::BodyMemoryReservation;
+use super::{MAX_BODY_BYTES, Pieces, USED_BUFFERS_BYTES};
+use crate::memory::{IN_TRANSIT_BYTES, PIECE_BYTES, ReadAllowance, Reservation};
 use actix_http::body::{BodySize, MessageBody};
 use actix_http::error::PayloadError;
 use bytes::Bytes;
@@ -47,7 +47,9 @@
     last_progress: Cell<Instant>,
     /// How long the client waits for a response once the body is complete.
     client_timeout: Duration,
-    _reservation: BodyMemoryReservation,
+    /// How much the client's connection may read.
+    allowance: Rc<ReadAllowance>,
+    reservation: RefCell<Reservation>,
 }
 
 /// The body as one attempt sends it.
@@ -60,16 +62,18 @@
 }
 
 impl RequestBody {
-    /// Creates a body from the chunks received so far and the source of the others. The length may be
-    /// unknown.
+    /// Creates a body from its start and the source of the rest, whose reads `allowance` permits. The length
+    /// may be unknown. The reservation shrinks as soon as less memory is needed.
     pub fn new(
         length: Option<u64>,
-        buffered: Vec<Bytes>,
+        mut start: Pieces,
         source: impl Stream<Item = Result<Bytes, PayloadError>> + 'static,
         client_timeout: Duration,
-        reservation: BodyMemoryReservation,
+        allowance: Rc<ReadAllowance>,
+        reservation: Reservation,
     ) -> RequestBody {
-        let received_bytes = Cell::new(buffered.iter().map(|chunk| chunk.len() as u64).sum());
+        let received_bytes = Cell::new(start.len() as u64);
+        let buffered: Vec<Bytes> = std::iter::from_fn(|| start.next_piece()).collect();
         RequestBody {
             length,
             buffered: RefCell::new(buffered),
@@ -81,7 +85,8 @@
             changed: Notify::new(),
             last_progress: Cell::new(Instant::now()),
             client_timeout,
-            _reservation: reservation,
+            allowance,
+            reservation: RefCell::new(reservation),
         }
     }
 
@@ -137,15 +142,29 @@
         }
     }
 
+    /// Lets the connection read the next piece, as all that it has read was passed on.
+    fn allow_next_read(&self) {
+        let left = self.length.map(|length| length.saturating_sub(self.received_bytes.get()));
+        let piece = left.map_or(PIECE_BYTES, |left| PIECE_BYTES.min(left as usize));
+        if piece > 0 {
+            self.allowance.renew(piece);
+        }
+    }
+
     fn poll_source(
         &self,
         cx: &mut Context<'_>,
         number: u32,
     ) -> Poll<Option<Result<Bytes, RequestBodyError>>> {
-        let chunk = ready!(self.source.borrow_mut().poll_next_unpin(cx));
+        let polled = self.source.borrow_mut().poll_next_unpin(cx);
+        if polled.is_pending() {
+            self.allow_next_read();
+        }
+        let chunk = ready!(polled);
         self.last_progress.set(Instant::now());
         if self.released_to.replace(Some(number)).is_none() {
             self.buffered.take();
+            self.reservation.borrow_mut().shrink_to(IN_TRANSIT_BYTES);
             self.changed.notify_waiters();
         }
         Poll::Ready(match chunk {
@@ -160,6 +179,7 @@
             Some(Err(e)) => Some(Err(e.into())),
             None => {
                 self.ended_at.set(Some(self.ended_at.get().unwrap_or_else(Instant::now)));
+                self.reservation.borrow_mut().shrink_to(USED_BUFFERS_BYTES);
                 self.changed.notify_waiters();
                 None
             }
--- a/crates/proxy/src/bodies/response_body.rs
+++ b/crates/proxy/src/bodies/response_body.rs
@@ -1,6 +1,7 @@
 //! A response body that is streamed to its client: a bounded channel between the attempt and the listener.
 
-use super::memory_limit::BodyMemoryReservation;
+use super::Pieces;
+use crate::memory::{IN_TRANSIT_BYTES, Reservation};
 use actix_http::body::{BodySize, MessageBody};
 use bytes::Bytes;
 use std::any::Any;
@@ -11,6 +12,8 @@
 
 /// The number of chunks that may wait for the client. A chunk is the result of one read.
 const MAX_QUEUED_CHUNKS: usize = 4;
+/// The number of chunks that may wait if no memory is reserved for them. A connection has memory for one.
+const MAX_QUEUED_CHUNKS_UNRESERVED: usize = 1;
 
 /// The endpoint's response ended early. The error ends the client's connection, so that the client notices
 /// it.
@@ -26,7 +29,10 @@
 /// The receiving end, which the listener reads for the client.
 pub struct ResponseBody {
     length: Option<u64>,
+    /// The start of the body, which was received before the rest was streamed.
+    start: Pieces,
     chunks: mpsc::Receiver<Chunk>,
+    reservation: Option<Reservation>,
     /// Dropped together with the body.
     kept_values: Vec<Box<dyn Any>>,
     /// Called once with whether the whole body was read.
@@ -38,13 +44,17 @@
     chunks: mpsc::Sender<Chunk>,
 }
 
-/// Creates both ends of a response body, whose length may be unknown, with its memory reservation.
-pub fn body_channel(length: Option<u64>, reservation: BodyMemoryReservation) -> (BodySender, ResponseBody) {
-    let (sender, chunks) = mpsc::channel(MAX_QUEUED_CHUNKS);
-    (
-        BodySender { chunks: sender },
-        ResponseBody { length, chunks, kept_values: vec![Box::new(reservation)], on_end: None },
-    )
+/// Creates both ends of a response body, whose length may be unknown, with its start and the reservation of its
+/// memory. Without one, a connection's own memory has to do, and the body is passed on a chunk at a time.
+pub fn body_channel(
+    length: Option<u64>,
+    start: Pieces,
+    reservation: Option<Reservation>,
+) -> (BodySender, ResponseBody) {
+    let queued = if reservation.is_some() { MAX_QUEUED_CHUNKS } else { MAX_QUEUED_CHUNKS_UNRESERVED };
+    let (sender, chunks) = mpsc::channel(queued);
+    let body = ResponseBody { length, start, chunks, reservation, kept_values: Vec::new(), on_end: None };
+    (BodySender { chunks: sender }, body)
 }
 
 impl BodySender {
@@ -92,6 +102,12 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, IncompleteResponse>>> {
+        if let Some(piece) = self.start.next_piece() {
+            return Poll::Ready(Some(Ok(piece)));
+        }
+        if let Some(reservation) = &mut self.reservation {
+            reservation.shrink_to(IN_TRANSIT_BYTES);
+        }
         match ready!(self.chunks.poll_recv(cx)) {
             Some(Chunk::Bytes(bytes)) => Poll::Ready(Some(Ok(bytes))),
             Some(Chunk::End) => {
--- a/crates/proxy/src/bodies/response_body/tests.rs
+++ b/crates/proxy/src/bodies/response_body/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::bodies::BodyMemoryLimit;
+use crate::memory::{MemoryAccountant, Owner};
 use futures_util::FutureExt;
 use std::cell::Cell;
 use std::future::poll_fn;
@@ -11,9 +11,11 @@
 
 #[test]
 fn sender_waits_for_reader_and_end_is_notified_and_releases_memory() {
-    let limit = Rc::new(BodyMemoryLimit::new(10));
+    let memory = Rc::new(MemoryAccountant::new(0)); // only the first reservation is granted
     for complete in [true, false] {
-        let (sender, mut body) = body_channel(Some(9), limit.try_reserve(10).expect("within the limit"));
+        let reservation = memory.try_reserve(Owner::ResponseBodies, 10);
+        assert!(reservation.is_some(), "released with the body before");
+        let (sender, mut body) = body_channel(Some(9), Pieces::default(), reservation);
         let notified = Rc::new(Cell::new(None));
         let notify = notified.clone();
         body.when_ended(move |complete| notify.set(Some(complete)));
@@ -27,6 +29,17 @@
             (true, Some(None)) | (false, Some(Some(Err(IncompleteResponse))))
         ));
         assert_eq!(notified.get(), Some(complete));
-        assert!(limit.try_reserve(1).is_none(), "reserved until the body is dropped");
+        assert!(memory.try_reserve(Owner::ResponseBodies, 1).is_none(), "reserved until the body is dropped");
     }
 }
+
+#[test]
+fn start_is_passed_on_first_and_a_body_without_memory_waits_for_each_chunk_to_be_read() {
+    let (sender, mut body) = body_channel(None, Bytes::from_static(b"start").into(), None);
+    let send = || sender.send(Bytes::from_static(b"x")).now_or_never().is_some();
+    assert_eq!((0..9).filter(|_| send()).count(), MAX_QUEUED_CHUNKS_UNRESERVED);
+    let read: Vec<Bytes> =
+        (0..2).map(|_| next(&mut body).expect("ready").expect("more").expect("no error")).collect();
+    assert_eq!(read, ["start", "x"]);
+    assert!(next(&mut body).is_none() && send());
+}
--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -1,7 +1,8 @@
 //! A client's request in the form that is independent of the listener's protocol, and the verdict that ends
 //! it.
 
-use crate::bodies::{BodyMemoryReservation, IncompleteResponse, RequestBody, ResponseBody};
+use crate::bodies::{IncompleteResponse, Pieces, RequestBody, ResponseBody};
+use crate::memory::Reservation;
 use actix_http::body::{BodySize, MessageBody};
 use actix_http::header::{HeaderMap, HeaderValue};
 use actix_http::{Method, StatusCode};
@@ -33,7 +34,7 @@
         /// The bytes as they were received.
         bytes: Bytes,
         /// Released with the bytes.
-        _reservation: Option<BodyMemoryReservation>,
+        _reservation: Option<Reservation>,
     },
     /// A long body that is still being received.
     Streamed(Rc<RequestBody>),
@@ -105,14 +106,14 @@
 #[derive(Debug)]
 pub enum ResponseContent {
     /// A body that is buffered whole.
-    Buffered(Bytes),
+    Buffered(Pieces),
     /// A long body that is still being received.
     Streamed(ResponseBody),
 }
 
 impl From<Bytes> for ResponseContent {
     fn from(bytes: Bytes) -> ResponseContent {
-        ResponseContent::Buffered(bytes)
+        ResponseContent::Buffered(bytes.into())
     }
 }
 
@@ -121,7 +122,7 @@
 
     fn size(&self) -> BodySize {
         match self {
-            ResponseContent::Buffered(bytes) => BodySize::Sized(bytes.len() as u64),
+            ResponseContent::Buffered(pieces) => pieces.size(),
             ResponseContent::Streamed(download) => download.size(),
         }
     }
@@ -131,8 +132,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, IncompleteResponse>>> {
         match &mut *self {
-            ResponseContent::Buffered(bytes) if bytes.is_empty() => Poll::Ready(None),
-            ResponseContent::Buffered(bytes) => Poll::Ready(Some(Ok(std::mem::take(bytes)))),
+            ResponseContent::Buffered(pieces) => Poll::Ready(pieces.next_piece().map(Ok)),
             ResponseContent::Streamed(download) => Pin::new(download).poll_next(cx),
         }
     }
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -10,13 +10,19 @@
 //! request in flight is never evicted. All others are in queues ordered by the time they entered their state,
 //! so that no operation scans all connections.
 
+mod head_memory;
 pub mod stream;
 
+use self::head_memory::HeadMemory;
 use crate::closing::{Closing, Event, Step};
+use crate::memory::{
+    BufferUse, ConnectionCharge, ConnectionKind, MemoryAccountant, ReadAllowance, SHORT_MESSAGE_BYTES,
+    UNRESERVED_BYTES,
+};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::task::Waker;
+use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
 pub use stream::{Connection, Stream};
 use tokio::sync::Notify;
@@ -69,6 +75,14 @@
     /// Whether idle connections are evicted last.
     protects_idle: Cell<bool>,
     connection_closed: Notify,
+    memory: Rc<MemoryAccountant>,
+}
+
+/// Whether an idle connection that has sent requests may be evicted.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum IdleEviction {
+    Allowed,
+    Forbidden,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -123,9 +137,26 @@
     close_state: Cell<Option<Closing>>,
     /// Wakes the task that serves the connection.
     task: RefCell<Option<Waker>>,
+    /// How much may be read before there is memory for more.
+    allowance: Rc<ReadAllowance>,
+    /// The memory of a long request head.
+    head_memory: HeadMemory,
+    charge: ConnectionCharge,
+    /// How much of the buffers was used so far.
+    buffer_use: Cell<BufferUse>,
 }
 
 impl Clients {
+    /// Creates a table without connections, which are charged to `memory`.
+    pub fn new(memory: Rc<MemoryAccountant>) -> Clients {
+        Clients { memory, ..Clients::default() }
+    }
+
+    /// The memory of the process.
+    pub fn memory(&self) -> &Rc<MemoryAccountant> {
+        &self.memory
+    }
+
     /// The number of open connections.
     pub fn open(&self) -> usize {
         self.open.get()
@@ -149,6 +180,10 @@
             close_intent: Cell::new(CloseIntent::KeepOpen),
             close_state: Cell::new(None),
             task: RefCell::default(),
+            allowance: Rc::new(ReadAllowance::new(SHORT_MESSAGE_BYTES)),
+            head_memory: HeadMemory::default(),
+            buffer_use: Cell::new(BufferUse::Short),
+            charge: self.memory.charge_connection(ConnectionKind::Client),
         });
         client.set_state(State::Silent(self.next_key()));
         client
@@ -200,10 +235,16 @@
     /// time. A legitimate client may take 2 s for its request head, so it must not be evicted for thousands
     /// of new connections that send nothing.
     pub fn evict_one(&self) {
-        self.evict_one_at(Instant::now());
+        self.evict_one_at(Instant::now(), IdleEviction::Allowed);
+    }
+
+    /// Evicts at most one connection, but none that is idle after a request. Its client may be about to send the
+    /// next one.
+    pub fn evict_one_not_idle(&self) {
+        self.evict_one_at(Instant::now(), IdleEviction::Forbidden);
     }
 
-    fn evict_one_at(&self, now: Instant) {
+    fn evict_one_at(&self, now: Instant, idle_eviction: IdleEviction) {
         let has_age = |queue, age| Clients::oldest_entry_time(queue).is_some_and(|since| now - since >= age);
         if has_age(&self.closing, EVICTION_GRACE) {
             if let Some(client) = Clients::oldest_client(&self.closing) {
@@ -211,9 +252,13 @@
             }
             return;
         }
+        let spares_idle = idle_eviction == IdleEviction::Forbidden;
         let idle = (&self.idle, Duration::ZERO);
-        let stalled_or_idle =
-            if self.protects_idle.get() { (&self.partial, STALLED_EVICTION_AGE) } else { idle };
+        let stalled_or_idle = if self.protects_idle.get() || spares_idle {
+            (&self.partial, STALLED_EVICTION_AGE)
+        } else {
+            idle
+        };
         let mut order = vec![
             (&self.silent, SILENT_EVICTION_AGE),
             (&self.idle_unused, Duration::ZERO),
@@ -224,7 +269,8 @@
         // Otherwise they would be evicted whenever all silent connections are still younger than
         // `EVICTION_GRACE`.
         if self.silent.borrow().is_empty() {
-            order.extend([idle, (&self.partial, EVICTION_GRACE)]);
+            order.extend([idle].into_iter().filter(|_| !spares_idle));
+            order.push((&self.partial, EVICTION_GRACE));
         }
         if let Some((queue, _)) = order.into_iter().find(|(queue, age)| has_age(queue, *age)) {
             Clients::close_oldest(queue);
@@ -275,6 +321,7 @@
 impl Client {
     /// Records that a request head is complete and that its body is being read.
     pub fn on_head_received(self: &Rc<Self>) {
+        self.head_memory.stop_waiting();
         self.set_state(State::Uploading(self.clients.next_key()));
         self.has_sent_request.set(true);
     }
@@ -303,6 +350,9 @@
 
     /// Records that the response has been sent.
     pub fn on_response_sent(self: &Rc<Self>) {
+        self.head_memory.release();
+        self.charge.charge_buffers(self.buffer_use.get());
+        self.allowance.set(self.unreserved_bytes());
         match (self.state.get(), self.close_intent.get()) {
             (State::Closed, _) => {}
             (_, CloseIntent::Now) => self.begin_close(CloseIntent::Now),
@@ -321,6 +371,54 @@
         self.begin_close(CloseIntent::Now);
     }
 
+    /// Records how much of the buffers a body uses that is received or sent. While a reservation covers them, they
+    /// are not charged to the connection.
+    pub fn on_buffers_used(&self, buffer_use: BufferUse) {
+        if buffer_use < BufferUse::Reserved {
+            self.charge.charge_buffers(buffer_use);
+        }
+        self.buffer_use.set(self.buffer_use.get().max(buffer_use));
+    }
+
+    /// Whether the connection is to be closed after the response, because memory is short and its buffers keep
+    /// more of it than those of a new one.
+    pub fn gives_back_buffers(&self) -> bool {
+        self.buffer_use.get() == BufferUse::Reserved && self.clients.memory.is_short()
+    }
+
+    /// How many bytes of a request may be read without a reservation.
+    fn unreserved_bytes(&self) -> usize {
+        match self.charge.buffer_use() {
+            BufferUse::Short => SHORT_MESSAGE_BYTES,
+            BufferUse::Unreserved | BufferUse::Reserved => UNRESERVED_BYTES,
+        }
+    }
+
+    /// How much of the request may be read before there is memory for more.
+    pub fn allowance(&self) -> &Rc<ReadAllowance> {
+        &self.allowance
+    }
+
+    /// Returns how many bytes may be read now. For a long request head, waits for memory; a body's consumer does
+    /// that itself.
+    fn poll_allowance(&self, cx: &mut Context<'_>) -> Poll<usize> {
+        let remaining = self.allowance.poll_remaining(cx);
+        if remaining > 0 {
+            return Poll::Ready(remaining);
+        }
+        if self.charge.buffer_use() == BufferUse::Short && self.charge.try_charge_buffers() {
+            self.allowance.set(UNRESERVED_BYTES - SHORT_MESSAGE_BYTES);
+            return Poll::Ready(UNRESERVED_BYTES - SHORT_MESSAGE_BYTES);
+        }
+        if !matches!(self.state.get(), State::Silent(_) | State::Partial(..) | State::Idle(_)) {
+            return Poll::Pending;
+        }
+        self.head_memory.poll_piece(&self.clients.memory, cx).map(|bytes| {
+            self.allowance.set(bytes);
+            bytes
+        })
+    }
+
     /// Whether no further bytes are read as a request.
     pub fn is_closing(&self) -> bool {
         self.close_intent.get() == CloseIntent::Now
--- a/crates/proxy/src/clients/stream.rs
+++ b/crates/proxy/src/clients/stream.rs
@@ -13,10 +13,14 @@
 //! request is the last one on the connection and the further bytes are discarded: a close behind unread bytes
 //! may never become visible. A body that waits stays unread, which applies backpressure to its client; the
 //! runtime reports a close behind it.
+//!
+//! The library would read 128 KiB of a body at once, and as much again while its consumer reads nothing. So
+//! [`ReadAllowance`](crate::memory::ReadAllowance) limits what it gets until the consumer asks for more.
 
 use super::{Client, CloseIntent, State};
 use crate::closing::{Event, Step};
 use crate::interrupted::poll_uninterrupted;
+use crate::memory::{Owner, Reservation};
 use actix_rt::net::{ActixStream, Ready};
 use bytes::{Buf, BytesMut};
 use futures_util::FutureExt;
@@ -65,6 +69,8 @@
     client: Rc<Client>,
     /// Bytes that were read but not yet passed to the library.
     read_ahead: RefCell<BytesMut>,
+    /// The memory of `read_ahead`, if it is not empty.
+    read_ahead_memory: RefCell<Option<Reservation>>,
     /// The number of bytes discarded behind the last request of the connection while it is in flight.
     discarded_bytes: Cell<usize>,
     /// Whether the library has requested bytes in this poll of the task and waits for the socket.
@@ -87,6 +93,7 @@
             stream: RefCell::new(stream),
             client,
             read_ahead: RefCell::default(),
+            read_ahead_memory: RefCell::default(),
             discarded_bytes: Cell::new(0),
             library_awaits_socket: Cell::new(false),
             library_received_bytes: Cell::new(false),
@@ -190,8 +197,9 @@
         if client.peer_closed.get() || client.is_closing() && !in_flight {
             return Poll::Ready(Ok(()));
         }
+        let Poll::Ready(allowed) = client.poll_allowance(cx) else { return Poll::Pending };
         let before = buf.filled().len();
-        let mut read = self.poll_read_buffered(cx, buf);
+        let mut read = self.poll_read_at_most(cx, buf, allowed);
         if read.is_pending() && self.closes_unless_request_arrives() {
             read = match self.poll_read_directly(cx, buf) {
                 Poll::Ready(Err(e)) if e.kind() == ErrorKind::WouldBlock => {
@@ -204,6 +212,7 @@
         match &read {
             Poll::Ready(Ok(())) if buf.filled().len() > before => {
                 self.library_received_bytes.set(true);
+                client.allowance().consume(buf.filled().len() - before);
                 client.on_bytes_received();
             }
             Poll::Ready(_) => client.on_peer_closed(),
@@ -219,6 +228,23 @@
         is_evicted || closes_as_idle
     }
 
+    /// Reads up to a number of bytes.
+    fn poll_read_at_most(
+        &self,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+        max_bytes: usize,
+    ) -> Poll<io::Result<()>> {
+        if buf.remaining() <= max_bytes {
+            return self.poll_read_buffered(cx, buf);
+        }
+        let mut limited = ReadBuf::new(buf.initialize_unfilled_to(max_bytes));
+        let read = self.poll_read_buffered(cx, &mut limited);
+        let length = limited.filled().len();
+        buf.advance(length);
+        read
+    }
+
     /// Reads from the read-ahead buffer, or from the socket if the buffer is empty.
     fn poll_read_buffered(&self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let mut buffered = self.read_ahead.borrow_mut();
@@ -230,6 +256,7 @@
         buffered.advance(length);
         if buffered.is_empty() {
             *buffered = BytesMut::new(); // frees the memory, which few clients need and none all the time
+            self.read_ahead_memory.take();
         }
         Poll::Ready(Ok(()))
     }
@@ -263,13 +290,14 @@
         let client = &self.client;
         while !client.peer_closed.get() {
             let is_complete = client.state.get() == State::InFlight && client.request_is_complete.get();
-            let mut capacity = MAX_READ_AHEAD_BYTES.saturating_sub(self.read_ahead.borrow().len());
+            let mut capacity = self.read_ahead_capacity();
             if capacity == 0 && is_complete {
                 client.close_after_response();
             }
             let discards = is_complete && client.is_closing();
             if discards {
                 self.read_ahead.take();
+                self.read_ahead_memory.take();
                 capacity = CHUNK_BYTES;
             }
             let mut storage = [MaybeUninit::uninit(); CHUNK_BYTES];
@@ -290,11 +318,36 @@
                         client.on_peer_closed();
                     }
                 }
-                Poll::Ready(Ok(())) => self.read_ahead.borrow_mut().extend_from_slice(received),
+                Poll::Ready(Ok(())) if self.has_read_ahead_memory() => {
+                    self.read_ahead.borrow_mut().extend_from_slice(received);
+                }
+                // No response to these bytes is owed yet, so that they can be discarded.
+                Poll::Ready(Ok(())) => client.close_after_response(),
             }
         }
     }
 
+    /// How many bytes may still be read ahead. A body that waits for memory stays unread.
+    fn read_ahead_capacity(&self) -> usize {
+        match self.client.state.get() {
+            State::Uploading(_) => 0,
+            _ => MAX_READ_AHEAD_BYTES.saturating_sub(self.read_ahead.borrow().len()),
+        }
+    }
+
+    /// Whether there is memory for bytes that are read ahead. That of a streamed body is reserved with it.
+    fn has_read_ahead_memory(&self) -> bool {
+        if self.client.state.get() == State::InFlight && !self.client.request_is_complete.get() {
+            return true;
+        }
+        let mut memory = self.read_ahead_memory.borrow_mut();
+        if memory.is_none() {
+            let accountant = self.client.clients.memory();
+            *memory = accountant.try_reserve(Owner::RequestHeads, MAX_READ_AHEAD_BYTES);
+        }
+        memory.is_some()
+    }
+
     /// Polls for the end of the stream behind bytes that stay unread to apply backpressure to the client.
     fn poll_end_of_stream(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let stream = self.stream.borrow();
--- a/crates/proxy/src/clients/stream/tests.rs
+++ b/crates/proxy/src/clients/stream/tests.rs
@@ -1,4 +1,4 @@
-use super::super::{Clients, EVICTION_GRACE, IDLE_TIMEOUT, RequestBody, SILENT_EVICTION_AGE};
+use super::super::{Clients, EVICTION_GRACE, IDLE_TIMEOUT, IdleEviction, RequestBody, SILENT_EVICTION_AGE};
 use super::*;
 use crate::interrupted::tests::{InterruptedSocket, Interruptions};
 use std::io::Write;
@@ -53,7 +53,7 @@
         ("idle timeout", |clients| clients.close_expired_at(Instant::now() + IDLE_TIMEOUT)),
         ("close of idle connections", Clients::close_idle),
         ("eviction of a silent connection", |clients| {
-            clients.evict_one_at(Instant::now() + SILENT_EVICTION_AGE)
+            clients.evict_one_at(Instant::now() + SILENT_EVICTION_AGE, IdleEviction::Allowed)
         }),
     ];
     for (n, (name, trigger)) in triggers.into_iter().enumerate() {
@@ -147,6 +147,7 @@
         run_test(async {
             let (mut peer, connection, _) = connected().await;
             connection.client().on_request_dispatched(body);
+            connection.client().allowance().set(usize::MAX); // as a body's consumer does, piece by piece
             let text: Vec<u8> = (0..bytes).map(|n| (n % 251) as u8).collect();
             let reading = {
                 let connection = connection.clone();
@@ -214,7 +215,7 @@
         while !matches!(connection.client().next_step(Instant::now()), Step::Drain { .. }) {
             yield_now().await;
         }
-        clients.evict_one_at(Instant::now() + EVICTION_GRACE);
+        clients.evict_one_at(Instant::now() + EVICTION_GRACE, IdleEviction::Allowed);
         closing.await.expect("no panic");
         assert!(connection.client().is_abandoned());
     });
--- a/crates/proxy/src/clients/tests.rs
+++ b/crates/proxy/src/clients/tests.rs
@@ -10,7 +10,7 @@
 
 /// Evicts one connection and unregisters it immediately.
 fn evict_one(clients: &Clients, all: &[&Rc<Client>], now: Instant) {
-    clients.evict_one_at(now);
+    clients.evict_one_at(now, IdleEviction::Allowed);
     let closing = |client: &&&Rc<Client>| matches!(client.state.get(), State::Closing(_));
     all.iter().filter(closing).for_each(|client| clients.unregister(client));
 }
@@ -91,9 +91,9 @@
     rejected.on_request_rejected();
     let State::Closing((since, _)) = rejected.state.get() else { panic!("the connection is not closing") };
     let abandoned = |client: &Client| client.is_abandoned();
-    clients.evict_one_at(since + EVICTION_GRACE - Duration::from_millis(1));
+    clients.evict_one_at(since + EVICTION_GRACE - Duration::from_millis(1), IdleEviction::Allowed);
     assert!(is_close_requested(&idle) && !abandoned(&rejected));
-    clients.evict_one_at(since + EVICTION_GRACE);
+    clients.evict_one_at(since + EVICTION_GRACE, IdleEviction::Allowed);
     assert!(abandoned(&rejected) && rejected.state.get() == State::Closed);
     // Later events do not reopen it.
     rejected.on_bytes_received();
--- a/crates/proxy/src/cluster_runtime/mod.rs
+++ b/crates/proxy/src/cluster_runtime/mod.rs
@@ -12,11 +12,11 @@
 mod timers;
 
 use crate::backends::Backends;
-use crate::bodies::BodyMemoryLimit;
 use crate::clock::Clock;
 use crate::descriptors::Descriptors;
 use crate::discovery::{Discovery, Subscriber};
 use crate::membership::ListUpdate;
+use crate::memory::MemoryAccountant;
 use crate::stages::context::{Context, EventSink, Limits};
 use crate::stages::request_table::RequestTable;
 use crate::start_times::StartTime;
@@ -48,8 +48,8 @@
     pub request_table: Rc<RequestTable>,
     /// The limit on connections to endpoints.
     pub descriptors: Rc<Descriptors>,
-    /// The memory limit for long bodies.
-    pub body_memory: Rc<BodyMemoryLimit>,
+    /// The memory of the process.
+    pub memory: Rc<MemoryAccountant>,
     /// Metrics; `None` if nothing reads them.
     pub stats: Option<Arc<Stats>>,
     /// The endpoint state of an earlier process.
@@ -120,7 +120,7 @@
             shared.request_table.clone(),
             backends,
             limits,
-            shared.body_memory.clone(),
+            shared.memory.clone(),
             shared.stats.clone(),
         );
         ClusterRuntime {
--- a/crates/proxy/src/cluster_runtime/tests.rs
+++ b/crates/proxy/src/cluster_runtime/tests.rs
@@ -33,11 +33,11 @@
         site: Rc::new(RefCell::new(Site::read(SETTINGS).expect("settings"))),
         clock: Clock::starting(&SteppedClock(unix), inherited_clock),
         seed: 0,
-        descriptors: Rc::new(Descriptors::new(1)),
+        descriptors: Rc::new(Descriptors::new(1, Rc::default())),
         discovery: None,
         cached_list: cached.map(str::to_owned),
         routing: Routing::default(),
-        budget: Rc::default(),
+        memory: Rc::default(),
         stats: None,
         taken_over,
     };
--- a/crates/proxy/src/clusters/start.rs
+++ b/crates/proxy/src/clusters/start.rs
@@ -3,13 +3,13 @@
 
 use super::routing::routes;
 use super::{Clusters, Routing};
-use crate::bodies::BodyMemoryLimit;
 use crate::clock::Clock;
 use crate::cluster_config::REGISTRY;
 use crate::cluster_runtime::{ClusterRuntime, InheritedEndpoints, ProxyState, RuntimeConfig};
 use crate::descriptors::Descriptors;
 use crate::hot_restart::State;
 use crate::membership::ListUpdate;
+use crate::memory::MemoryAccountant;
 use crate::platform::registry;
 use crate::stats::Stats;
 use olivecart_decisions::LearnedState;
@@ -37,8 +37,8 @@
     pub cached_list: Option<String>,
     /// The routing of requests to clusters.
     pub routing: Routing,
-    /// The memory limit for long bodies.
-    pub budget: Rc<BodyMemoryLimit>,
+    /// The memory of the process.
+    pub memory: Rc<MemoryAccountant>,
     /// The metrics; `None` without an admin server.
     pub stats: Option<Arc<Stats>>,
     /// The state handed over by the predecessor in a hot restart.
@@ -67,7 +67,7 @@
             site: config.site,
             request_table: Rc::default(),
             descriptors: config.descriptors,
-            body_memory: config.budget,
+            memory: config.memory,
             stats: config.stats,
             inherited: InheritedEndpoints {
                 detached: inherited.detached,
--- a/crates/proxy/src/clusters/tests.rs
+++ b/crates/proxy/src/clusters/tests.rs
@@ -12,11 +12,11 @@
         site: Rc::new(RefCell::new(Site::read(settings).expect("settings"))),
         clock: Clock::start(),
         seed: 0,
-        descriptors: Rc::new(Descriptors::new(1)),
+        descriptors: Rc::new(Descriptors::new(1, Rc::default())),
         discovery: None,
         cached_list: None,
         routing: Routing::default(),
-        budget: Rc::default(),
+        memory: Rc::default(),
         stats: None,
         taken_over: None,
     };
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -5,7 +5,7 @@
 //! The sidecar has a separate configuration, which this module does not read.
 
 use crate::cluster_config::{self, ClusterConfig};
-use crate::console;
+use crate::{console, memory};
 use olivecart_decisions::ClassId;
 use olivecart_settings::{SettingsError, Site};
 use serde::Deserialize;
@@ -18,12 +18,7 @@
 /// share.
 const RESERVED_DESCRIPTORS: usize = 48;
 
-/// The share of the memory limit that long bodies may use. The rest is for the idle process, some 4 MB, and
-/// for the other memory of each connection.
-const BODY_MEMORY_SHARE: f64 = 0.4;
-
-/// The smallest memory limit: 4 MB for the idle process, and some 40 kB for each pair of client and backend
-/// connections.
+/// The smallest memory limit: enough for two processes that share it, each with the fewest connections.
 const MIN_MEMORY_MB: f64 = 16.0;
 
 /// The smallest number of descriptors for clients and backends together.
@@ -126,8 +121,8 @@
     pub seed: u64,
     /// The limits on connections.
     pub sockets: Sockets,
-    /// The limit on the memory of long bodies, in bytes.
-    pub body_memory_bytes: usize,
+    /// The limit on the memory of the process, in bytes.
+    pub memory_bytes: usize,
     /// A cached endpoint list in the format of the discovery service.
     pub cached_endpoints: Option<String>,
     /// The parsed settings.
@@ -164,8 +159,8 @@
     pub discovery: SocketAddr,
     /// The new limits on connections.
     pub sockets: Sockets,
-    /// The new limit on the memory of long bodies, in bytes.
-    pub body_memory_bytes: usize,
+    /// The new limit on the memory of the process, in bytes.
+    pub memory_bytes: usize,
     /// Keys that changed but take effect only at a restart.
     pub at_restart: Vec<&'static str>,
 }
@@ -196,7 +191,7 @@
         Ok(Changes {
             discovery: new.discovery,
             sockets: new.sockets,
-            body_memory_bytes: new.body_memory_bytes,
+            memory_bytes: new.memory_bytes,
             at_restart,
         })
     }
@@ -263,7 +258,7 @@
                 &file.limits,
                 if console.is_some() { console::MAX_CONNECTIONS } else { 0 },
             )?,
-            body_memory_bytes: (file.limits.memory_mb * BODY_MEMORY_SHARE * 1e6) as usize,
+            memory_bytes: (file.limits.memory_mb * 1e6) as usize,
             cached_endpoints: file.cached_endpoints.map(|k| k.get().to_owned()),
             site: Site::read(settings.get())?,
             cluster_config: None,
@@ -284,6 +279,13 @@
             "sockets    {} for clients, {} for backends",
             self.sockets.clients, self.sockets.backends
         )?;
+        let carried = memory::max_client_connections(self.memory_bytes);
+        let shortage = if carried < self.sockets.clients { ", fewer than the sockets allow" } else { "" };
+        let megabytes = self.memory_bytes as f64 / 1e6;
+        writeln!(
+            f,
+            "memory     {megabytes:.1} MB, enough for {carried} clients with their backends{shortage}"
+        )?;
         writeln!(f, "tier       {}, replica {} of {}", s.tier, s.replica_index, s.replica_count)?;
         write!(f, "classes    {}, tenants {}", s.classes.len(), s.tenants.len())?;
         self.cluster_config.iter().try_for_each(|clusters| write!(f, "\n{clusters}"))
--- a/crates/proxy/src/console/mod.rs
+++ b/crates/proxy/src/console/mod.rs
@@ -175,7 +175,7 @@
         match request {
             AdminRequest::Ready if self.stats.is_ready() => Ok("ready".into()),
             AdminRequest::Ready => Err(AdminError::NotReady),
-            AdminRequest::Vars => Ok(self.stats.to_string()),
+            AdminRequest::Vars => Ok(format!("{}{}", self.stats.memory(), self.stats)),
             AdminRequest::Detach(_) | AdminRequest::Attach(_) => {
                 let request_text = format!("{request:?}");
                 let outcome = self.change(request).await?;
--- a/crates/proxy/src/descriptors.rs
+++ b/crates/proxy/src/descriptors.rs
@@ -1,11 +1,18 @@
 //! The descriptor limit for connections to backends, shared by all clusters.
 
+use crate::memory::{ConnectionCharge, ConnectionKind, MemoryAccountant};
 use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
 
 /// Counts as one open connection until it is dropped.
 pub type OpenConnection = Rc<()>;
 
+/// A connection that may be opened, and its memory.
+pub struct ConnectionPermit {
+    _open: OpenConnection,
+    _memory: ConnectionCharge,
+}
+
 /// An owner of idle connections, such as the connections of one cluster.
 pub trait IdleConnectionPool {
     /// Returns the largest number of idle connections to a single endpoint.
@@ -20,13 +27,19 @@
 pub struct Descriptors {
     limit: Cell<usize>,
     open: OpenConnection,
+    memory: Rc<MemoryAccountant>,
     pools: RefCell<Vec<Weak<dyn IdleConnectionPool>>>,
 }
 
 impl Descriptors {
-    /// Creates a limit without open connections.
-    pub fn new(limit: usize) -> Descriptors {
-        Descriptors { limit: Cell::new(limit), open: Rc::default(), pools: RefCell::default() }
+    /// Creates a limit without open connections, which are charged to `memory`.
+    pub fn new(limit: usize, memory: Rc<MemoryAccountant>) -> Descriptors {
+        Descriptors { limit: Cell::new(limit), open: Rc::default(), memory, pools: RefCell::default() }
+    }
+
+    /// The memory of the process.
+    pub fn memory(&self) -> &Rc<MemoryAccountant> {
+        &self.memory
     }
 
     /// Replaces the limit.
@@ -52,20 +65,31 @@
     }
 
     /// Counts one more connection and returns its guard, or `None` if the limit is reached and no connection
-    /// is idle. At the limit, closes the connection that has been idle longest to the endpoint with the most
-    /// idle connections of all clusters. The caller must not hold a borrow of a pool's table, which
-    /// [`IdleConnectionPool`] borrows as well.
-    pub fn acquire(&self) -> Option<OpenConnection> {
+    /// is idle. At the limit, or if memory is short, closes the connection that has been idle longest to the
+    /// endpoint with the most idle connections of all clusters. The caller must not hold a borrow of a pool's
+    /// table, which [`IdleConnectionPool`] borrows as well.
+    pub fn acquire(&self) -> Option<ConnectionPermit> {
         if self.is_at_limit() {
-            let pools = self.pools.borrow();
-            let pools = pools.iter().filter_map(Weak::upgrade);
-            let (_, fullest) = pools
-                .map(|pool| (pool.max_idle_per_endpoint(), pool))
-                .filter(|(idle, _)| *idle > 0)
-                .max_by_key(|(idle, _)| *idle)?;
-            fullest.close_longest_idle();
+            self.close_idle_connection()?;
+        } else if !self.memory.has_room_for_backend() {
+            // A request that was taken must not fail for memory, so that the connection is opened in any case.
+            self.close_idle_connection();
         }
-        Some(self.open.clone())
+        Some(ConnectionPermit {
+            _open: self.open.clone(),
+            _memory: self.memory.charge_connection(ConnectionKind::Backend),
+        })
+    }
+
+    fn close_idle_connection(&self) -> Option<()> {
+        let pools = self.pools.borrow();
+        let pools = pools.iter().filter_map(Weak::upgrade);
+        let (_, fullest) = pools
+            .map(|pool| (pool.max_idle_per_endpoint(), pool))
+            .filter(|(idle, _)| *idle > 0)
+            .max_by_key(|(idle, _)| *idle)?;
+        fullest.close_longest_idle();
+        Some(())
     }
 }
 
--- a/crates/proxy/src/descriptors/tests.rs
+++ b/crates/proxy/src/descriptors/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// Idle connections of one endpoint.
-struct IdleEndpoint(RefCell<Vec<OpenConnection>>);
+struct IdleEndpoint(RefCell<Vec<ConnectionPermit>>);
 
 impl IdleConnectionPool for IdleEndpoint {
     fn max_idle_per_endpoint(&self) -> usize {
@@ -15,7 +15,7 @@
 
 #[test]
 fn pool_with_the_most_idle_connections_closes_one_at_the_limit() {
-    let descriptors = Descriptors::new(5);
+    let descriptors = Descriptors::new(5, Rc::default());
     let pools = [2, 3].map(|n| {
         let idle = (0..n).map(|_| descriptors.acquire().expect("below the limit")).collect();
         let pool = Rc::new(IdleEndpoint(RefCell::new(idle)));
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -7,16 +7,18 @@
 //! belong to the stages.
 
 use crate::accept::{Accept, Acceptor};
-use crate::bodies::{BodyMemoryLimit, ResponseBody};
+use crate::bodies::ResponseBody;
 use crate::call::{Body, Call, ResponseContent, Verdict};
 use crate::clients::{Client, Clients, Connection, RequestBody, Stream};
 use crate::config::Sockets;
 use crate::latency::LatencyEstimate;
+use crate::memory::{BufferUse, MemoryAccountant, SHORT_MESSAGE_BYTES, UNRESERVED_BYTES};
 use crate::platform::client;
 use crate::shutdown_deadline::ShutdownDeadline;
-use crate::stages::admission::{self, AdmissionError};
+use crate::stages::admission::{self, AdmissionError, AdmittedRequest};
 use crate::stages::cluster_selection::Routes;
-use crate::stages::{parse, response};
+use crate::stages::parse::{self, ParseContext};
+use crate::stages::response;
 use crate::stats::{ActiveRequest, RequestResult, Stats};
 use actix_http::error::DispatchError;
 use actix_http::{ConnectionType, Extensions, HttpService, KeepAlive, Request, Response};
@@ -40,8 +42,12 @@
 const CONNECTIONS_OVER_SHARE: usize = 16;
 /// Maximum wait for an evicted connection to close before another one is evicted.
 const EVICTION_WAIT: Duration = Duration::from_millis(5);
+/// How long a new connection waits for memory before idle connections are evicted for it.
+const IDLE_EVICTION_DELAY: Duration = Duration::from_millis(500);
 /// Interval at which the timeouts of connections are enforced.
 pub const TIMEOUT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// The library takes no more of a response's body while this many bytes wait to be written.
+const WRITE_BUFFER_BYTES: usize = 16 * 1024;
 /// Maximum number of connections in the listen queue.
 const BACKLOG: u32 = 1024;
 
@@ -55,8 +61,8 @@
     pub log: Logger,
     /// The descriptor limits of clients and backends.
     pub sockets: Sockets,
-    /// The memory limit of long bodies.
-    pub budget: Rc<BodyMemoryLimit>,
+    /// The memory of the process.
+    pub memory: Rc<MemoryAccountant>,
     /// The request statistics, if the admin server exposes them.
     pub stats: Option<Arc<Stats>>,
 }
@@ -79,7 +85,6 @@
     closing: Cell<bool>,
     /// Whether connections are accepted here and not by the successor.
     accepting: watch::Sender<bool>,
-    budget: Rc<BodyMemoryLimit>,
     stats: Option<Arc<Stats>>,
 }
 
@@ -91,21 +96,20 @@
             site: parts.site,
             log: parts.log,
             sockets: Cell::new(parts.sockets),
-            clients: Rc::default(),
+            clients: Rc::new(Clients::new(parts.memory)),
             last_request_at: Cell::new(Instant::now()),
             latency: Cell::default(),
             shutdown_deadline: ShutdownDeadline::default(),
             closing: Cell::new(false),
             accepting: watch::channel(true).0,
-            budget: parts.budget,
             stats: parts.stats,
         }
     }
 
-    /// Waits until there are descriptors for one more connection, and evicts others if necessary. Without the
-    /// limit, client connections would use up the descriptors needed to reach endpoints. Without evictions,
-    /// clients that send nothing would keep other clients out. A new connection waits in the listen queue
-    /// only if all connections have a request in flight.
+    /// Waits until there are descriptors and memory for one more connection, and evicts others if necessary.
+    /// Without the limits, client connections would use up the descriptors needed to reach endpoints, and the
+    /// memory of the process. Without evictions, clients that send nothing would keep other clients out. A new
+    /// connection waits in the listen queue only if all connections have a request in flight.
     async fn wait_for_capacity(&self) {
         while self.clients.open() >= self.sockets.get().clients + CONNECTIONS_OVER_SHARE {
             self.clients.evict_one();
@@ -114,6 +118,21 @@
         if self.clients.open() >= self.sockets.get().clients {
             self.clients.evict_one();
         }
+        self.wait_for_memory().await;
+    }
+
+    /// Waits until there is memory for one more connection. Most of what is missing is held by bodies that are
+    /// on their way, so that idle connections are evicted only if that takes long.
+    async fn wait_for_memory(&self) {
+        let began = Instant::now();
+        while !self.clients.memory().has_room_for_client() {
+            if began.elapsed() < IDLE_EVICTION_DELAY {
+                self.clients.evict_one_not_idle();
+            } else {
+                self.clients.evict_one();
+            }
+            let _ = timeout(EVICTION_WAIT, self.clients.wait_for_closed_connection()).await;
+        }
     }
 
     /// Replaces the descriptor limits.
@@ -234,6 +253,7 @@
         .keep_alive(KeepAlive::Os)
         .client_request_timeout(Duration::ZERO)
         .client_disconnect_timeout(Duration::ZERO)
+        .h1_write_buffer_size(WRITE_BUFFER_BYTES)
         .on_connect_ext(|io: &Stream, data: &mut Extensions| _ = data.insert(io.0.client().clone()))
         .h1(fn_service(move |request: Request| handle(control.clone(), request)).into_factory());
     service.new_service(()).await.map_err(|()| NoHttpService)
@@ -283,7 +303,9 @@
     };
     match response {
         Ok(mut response) => {
-            if control.closing.get() || !*control.accepting.borrow() || client.is_closing() {
+            client.on_buffers_used(buffer_use(response.body()));
+            let is_last = control.closing.get() || !*control.accepting.borrow() || client.is_closing();
+            if is_last || client.gives_back_buffers() {
                 response.head_mut().set_connection_type(ConnectionType::Close);
             }
             if response.head().connection_type() == ConnectionType::Close {
@@ -305,7 +327,12 @@
     client: &Rc<Client>,
 ) -> Result<Response<ResponseContent>, client::Reject> {
     client.on_head_received();
-    let call = parse::parse(request, &control.site, &control.budget, &control.shutdown_deadline).await?;
+    let context = ParseContext {
+        site: &control.site,
+        memory: control.clients.memory(),
+        shutdown: &control.shutdown_deadline,
+    };
+    let call = parse::parse(&context, request, client).await?;
     let active = control.stats.as_ref().map(|stats| stats.count_request(usize::from(call.class.0)));
     let response = call_cluster(control, client, call).await?;
     Ok(match active {
@@ -314,6 +341,15 @@
     })
 }
 
+/// How much of the buffers a response's body needs.
+fn buffer_use(body: &ResponseContent) -> BufferUse {
+    match body {
+        ResponseContent::Buffered(pieces) if pieces.len() <= SHORT_MESSAGE_BYTES => BufferUse::Short,
+        ResponseContent::Buffered(pieces) if pieces.len() <= UNRESERVED_BYTES => BufferUse::Unreserved,
+        ResponseContent::Buffered(_) | ResponseContent::Streamed(_) => BufferUse::Reserved,
+    }
+}
+
 /// Counts the outcome of a request after its whole response was sent.
 fn count_response(
     response: Response<ResponseContent>,
@@ -402,6 +438,15 @@
         control.latency.set(latency);
     }
     // The response to a client that has disconnected is not read.
-    let response = client::verdict_response(verdict.unwrap_or(Verdict::Failed));
+    let mut response = client::verdict_response(verdict.unwrap_or(Verdict::Failed));
+    close_behind_unread_body(&mut response, &admitted);
     Ok(keep_alive_until_sent(response, admitted))
 }
+
+/// Lets a response be the last one on its connection if the request's body was not read to its end. The rest of it
+/// is not read any more, so that the next request would not be found behind it.
+fn close_behind_unread_body(response: &mut Response<ResponseContent>, admitted: &AdmittedRequest) {
+    if admitted.upload.as_ref().is_some_and(|upload| !upload.is_complete()) {
+        response.head_mut().set_connection_type(ConnectionType::Close);
+    }
+}
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -29,6 +29,7 @@
 mod latency;
 mod listen;
 mod membership;
+mod memory;
 mod platform;
 mod reload;
 mod response_digest;
--- a/crates/proxy/src/platform/client.rs
+++ b/crates/proxy/src/platform/client.rs
@@ -167,10 +167,14 @@
 pub fn refusal(retry_after: Duration) -> Response<Bytes> {
     let retry_after = if retry_after.is_zero() { DEFAULT_RETRY_AFTER } else { retry_after };
     let mut response = ResponseBuilder::new(StatusCode::SERVICE_UNAVAILABLE);
-    response.insert_header((header::RETRY_AFTER, format!("{:.3}", retry_after.as_secs_f64())));
+    response.insert_header((header::RETRY_AFTER, format_retry_after(retry_after)));
     build(response, Bytes::from_static(b"refused\n"))
 }
 
+fn format_retry_after(retry_after: Duration) -> String {
+    format!("{:.3}", retry_after.as_secs_f64())
+}
+
 /// Returns a refusal because the request's cluster is not available.
 pub fn cluster_unavailable(error: &ClusterUnavailable) -> Response<Bytes> {
     refusal(Duration::ZERO).set_body(Bytes::from(format!("refused: {error}\n")))
@@ -188,6 +192,9 @@
 pub fn rejection(reject: &Reject) -> Response<Bytes> {
     let mut response = ResponseBuilder::new(reject.status());
     response.force_close();
+    if matches!(reject, Reject::NoRoom) {
+        response.insert_header((header::RETRY_AFTER, format_retry_after(DEFAULT_RETRY_AFTER)));
+    }
     build(response, Bytes::from(format!("{reject}\n")))
 }
 
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -3,7 +3,6 @@
 //! `cli.rs` calls [`serve`] once. The spawned tasks end with its runtime. Their work is in the modules that
 //! it assembles.
 
-use crate::bodies::BodyMemoryLimit;
 use crate::clock::{Clock, SystemClocks};
 use crate::cluster_config::ClusterConfig;
 use crate::clusters::{Clusters, ClustersConfig, Routing};
@@ -11,6 +10,7 @@
 use crate::descriptors::Descriptors;
 use crate::hot_restart::HotRestart;
 use crate::listen::{AcceptControl, ListenerParts};
+use crate::memory::MemoryAccountant;
 use crate::serving_process::{AcquiredListener, ProcessLimits, ServingProcess};
 use crate::shutdown::{ShutdownSignals, ShutdownTimes};
 use crate::stats::Stats;
@@ -43,7 +43,7 @@
         console,
         seed,
         sockets,
-        body_memory_bytes,
+        memory_bytes,
         cached_endpoints,
         source,
         cluster_config,
@@ -58,7 +58,7 @@
     };
     let OpenListener { listener, path, taken_over, connection } = open;
     let kept_listener = path.is_some().then(|| listener.try_clone()).transpose()?;
-    let budget = Rc::new(BodyMemoryLimit::new(body_memory_bytes));
+    let memory = Rc::new(MemoryAccountant::new(memory_bytes));
     let listener = tokio::net::TcpListener::from_std(listener)?;
     info!(log, "listening"; "address" => %listen, "version" => env!("CARGO_PKG_VERSION"));
     let times = shutdown_times(&config.site);
@@ -73,11 +73,11 @@
         site: site.clone(),
         clock,
         seed,
-        descriptors: Rc::new(Descriptors::new(sockets.backends)),
+        descriptors: Rc::new(Descriptors::new(sockets.backends, memory.clone())),
         discovery: Some(discovery),
         cached_list: cached_endpoints,
         routing,
-        budget: budget.clone(),
+        memory: memory.clone(),
         stats: stats.clone(),
         taken_over,
     };
@@ -90,12 +90,12 @@
         site,
         log: log.clone(),
         sockets,
-        budget: budget.clone(),
+        memory: memory.clone(),
         stats: stats.clone(),
     }));
-    let limits = ProcessLimits { sockets, body_bytes: body_memory_bytes };
+    let limits = ProcessLimits { sockets, memory_bytes };
     let process =
-        ServingProcess::new(control.clone(), clusters.clone(), kept_listener, limits, budget.clone());
+        ServingProcess::new(control.clone(), clusters.clone(), kept_listener, limits, memory.clone());
     let process = Rc::new(process);
     let hot_restart = path.map(|path| HotRestart::start(process.clone(), path, connection, log.clone()));
     if let (Some(console), Some(stats)) = (console, stats) {
@@ -103,12 +103,13 @@
             stats,
             clusters: clusters.clone(),
             control: control.clone(),
+            memory: memory.clone(),
             hot_restart: hot_restart.clone(),
         };
         admin_state.start(console, log)?;
     }
     let apply_reload = move |changes: &Changes| {
-        process.set_limits(ProcessLimits { sockets: changes.sockets, body_bytes: changes.body_memory_bytes });
+        process.set_limits(ProcessLimits { sockets: changes.sockets, memory_bytes: changes.memory_bytes });
         clusters.adopt(changes);
     };
     actix_rt::spawn(reload::on_signal(reload_signal, source, apply_reload, log.clone()));
@@ -116,7 +117,8 @@
     let notify_hot_restart = || hot_restart.as_ref().is_some_and(HotRestart::on_shutdown);
     shutdown::on_signal(signals, control, times, notify_hot_restart, log.clone()).await;
     accept_task.abort();
-    info!(log, "stopped"; "long_bodies_peak" => budget.peak(), "long_bodies_limit" => body_memory_bytes);
+    info!(log, "stopped"; "memory_peak" => %memory.peak(), "memory_assignable" => memory.assignable(),
+        "long_bodies_peak" => memory.bodies_peak());
     Ok(())
 }
 
@@ -197,6 +199,7 @@
     stats: Arc<Stats>,
     clusters: Rc<Clusters>,
     control: Rc<AcceptControl>,
+    memory: Rc<MemoryAccountant>,
     hot_restart: Option<Rc<HotRestart>>,
 }
 
@@ -212,6 +215,7 @@
 
     fn publish(&self) {
         self.stats.publish(self.clusters.pool(), self.control.is_ready());
+        self.stats.publish_memory(&self.memory);
     }
 
     /// Publishes the pool statistics and the readiness, and notifies the predecessor once this process is
--- a/crates/proxy/src/serving_process.rs
+++ b/crates/proxy/src/serving_process.rs
@@ -1,16 +1,16 @@
 //! This process in a hot restart: takes over or binds the client listener, and implements [`HotRestartHost`].
 //!
 //! `serve.rs` creates one [`ServingProcess`] and passes it new limits. It connects `hot_restart` to the parts
-//! of the process that a hot restart changes: the listener's [`AcceptControl`], the clusters and the body
-//! memory limit.
+//! of the process that a hot restart changes: the listener's [`AcceptControl`], the clusters and the limit on
+//! memory.
 
-use crate::bodies::BodyMemoryLimit;
 use crate::clusters::Clusters;
 use crate::config::Sockets;
 use crate::console::request::AdminRequest;
 use crate::hot_restart::state_machine::ManualChange;
 use crate::hot_restart::{self, Handover, HotRestartHost, PeerConnection, State};
 use crate::listen::{self, AcceptControl};
+use crate::memory::MemoryAccountant;
 use slog::{Logger, info};
 use std::cell::Cell;
 use std::io;
@@ -69,7 +69,7 @@
     listener: Option<TcpListener>,
     /// The limits of all processes that serve the address, together.
     limits: Cell<ProcessLimits>,
-    budget: Rc<BodyMemoryLimit>,
+    memory: Rc<MemoryAccountant>,
     /// The number of processes that share the limits.
     processes: Cell<u32>,
 }
@@ -79,8 +79,8 @@
 pub struct ProcessLimits {
     /// The descriptor limits of clients and backends.
     pub sockets: Sockets,
-    /// Memory for long bodies, in bytes.
-    pub body_bytes: usize,
+    /// The memory of all processes, in bytes.
+    pub memory_bytes: usize,
 }
 
 impl ServingProcess {
@@ -90,14 +90,14 @@
         clusters: Rc<Clusters>,
         listener: Option<TcpListener>,
         limits: ProcessLimits,
-        budget: Rc<BodyMemoryLimit>,
+        memory: Rc<MemoryAccountant>,
     ) -> ServingProcess {
         ServingProcess {
             control,
             clusters,
             listener,
             limits: Cell::new(limits),
-            budget,
+            memory,
             processes: Cell::new(1),
         }
     }
@@ -125,11 +125,11 @@
 
     fn share_limits(&self, processes: u32) {
         self.processes.set(processes);
-        let ProcessLimits { sockets, body_bytes } = self.limits.get();
+        let ProcessLimits { sockets, memory_bytes } = self.limits.get();
         let own_share = sockets.part(processes);
         self.control.set_limits(own_share);
         self.clusters.limit_connections(own_share.backends);
-        self.budget.set_limit(body_bytes / processes.max(1) as usize);
+        self.memory.set_limit(memory_bytes, processes);
     }
 
     fn apply_change(&self, change: &ManualChange) {
--- a/crates/proxy/src/sidecar/mod.rs
+++ b/crates/proxy/src/sidecar/mod.rs
@@ -13,7 +13,6 @@
 mod live;
 mod settings;
 
-use crate::bodies::BodyMemoryLimit;
 use crate::catalog::{self, Step};
 use crate::clock::Clock;
 use crate::cluster_config::{Overrides, Rules};
@@ -21,6 +20,7 @@
 use crate::config::Sockets;
 use crate::descriptors::Descriptors;
 use crate::listen::{self, AcceptControl, ListenerParts};
+use crate::memory::MemoryAccountant;
 use crate::{reload, shutdown};
 use application::{Application, RequestLimit};
 use live::ReloadableConfig;
@@ -123,10 +123,6 @@
     }
 }
 
-/// The limit on the memory of long bodies. It is fixed, since a sidecar's configuration sets no memory limit
-/// for them.
-const BODY_MEMORY_LIMIT_BYTES: usize = 16 << 20;
-
 /// Serves until a signal or the admin listener requests a shutdown, and the shutdown has completed.
 ///
 /// # Errors
@@ -223,7 +219,7 @@
     clock: Clock,
     seed: u64,
     descriptors: Rc<Descriptors>,
-    budget: Rc<BodyMemoryLimit>,
+    memory: Rc<MemoryAccountant>,
     shares: DescriptorShares,
     log: Logger,
 }
@@ -232,11 +228,14 @@
     fn new(proxy: &Proxy, log: &Logger) -> Shared {
         let clock = Clock::start();
         let shares = settings::divide_descriptors(proxy);
+        let memory = Rc::new(
+            settings::memory_limit(proxy).map_or_else(MemoryAccountant::default, MemoryAccountant::new),
+        );
         Shared {
             clock,
             seed: clock.now() ^ u64::from(std::process::id()) << 32,
-            descriptors: Rc::new(Descriptors::new(shares.endpoints)),
-            budget: Rc::new(BodyMemoryLimit::new(BODY_MEMORY_LIMIT_BYTES)),
+            descriptors: Rc::new(Descriptors::new(shares.endpoints, memory.clone())),
+            memory,
             shares,
             log: log.clone(),
         }
@@ -298,7 +297,7 @@
             discovery: None,
             cached_list: None,
             routing,
-            budget: self.budget.clone(),
+            memory: self.memory.clone(),
             stats: None,
             taken_over: None,
         };
@@ -308,7 +307,7 @@
             site,
             log,
             sockets: Sockets { clients: client_connections, backends: 0 },
-            budget: self.budget.clone(),
+            memory: self.memory.clone(),
             stats: None,
         }));
         BoundListener { listener: Listener { name: name.to_owned(), control, clusters }, socket }
--- a/crates/proxy/src/sidecar/settings.rs
+++ b/crates/proxy/src/sidecar/settings.rs
@@ -46,6 +46,11 @@
     }
 }
 
+/// Returns the limit on the memory of the process, in bytes, if it is configured.
+pub fn memory_limit(proxy: &Proxy) -> Option<usize> {
+    proxy.settings.memory.and_then(|size| usize::try_from(size.bytes()).ok())
+}
+
 /// The settings of each listener.
 pub struct Sites {
     /// The settings of the inbound listener, if there is one.
--- a/crates/proxy/src/stages/admission/tests.rs
+++ b/crates/proxy/src/stages/admission/tests.rs
@@ -21,7 +21,7 @@
 
 fn context(recorder: &Rc<Recorder>, max_open_requests: usize) -> Rc<Context> {
     let event_sink: Rc<dyn EventSink> = recorder.clone();
-    let descriptors = Rc::new(Descriptors::new(1));
+    let descriptors = Rc::new(Descriptors::new(1, Rc::default()));
     let log = slog::Logger::root(slog::Discard, slog::o!());
     let backends = Backends::new(Duration::from_secs(1), Duration::from_secs(1), descriptors, log);
     let limits = Limits { max_open_requests, hedging_enabled: false };
--- a/crates/proxy/src/stages/attempt.rs
+++ b/crates/proxy/src/stages/attempt.rs
@@ -6,21 +6,19 @@
 use super::admission::DEADLINE_MARGIN;
 use super::context::Context;
 use super::request_table::Attempt;
+use super::response_start::{ResponseStart, StartReader};
 use super::write_check::WriteCheck;
 use crate::backends::{Lease, LeaseError};
-use crate::bodies::{
-    BodySender, BufferedBody, MAX_BODY_BYTES, MAX_BUFFERED_BYTES, MAX_IN_TRANSIT_BYTES, RequestBody,
-    body_channel,
-};
+use crate::bodies::{BodySender, MAX_BODY_BYTES, Pieces, RequestBody, body_channel};
 use crate::call::{Body, EndpointResponse, Payload, ResponseContent, Verdict};
 use crate::connect::ConnectFailure;
+use crate::memory::PIECE_BYTES;
 use crate::platform::backend;
 use crate::response_monitor::{ResponseMonitor, WriteCheckFn};
 use actix_http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use actix_http::{Method, StatusCode, Version};
 use awc::error::{ConnectError, PayloadError, SendRequestError};
 use awc::{ClientResponse, SendClientRequest};
-use bytes::Bytes;
 use futures_util::StreamExt;
 use olivecart_decisions::{AttemptEnd, EndpointId, Event, LoadReport, Outcome, RequestId};
 use slog::debug;
@@ -31,9 +29,6 @@
 /// Endpoints answer health checks without queueing them, so a response that takes longer than any round trip
 /// means that the machine hangs.
 const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_millis(400);
-/// The longest time for which the start of a long response is buffered before it is forwarded. Until it is
-/// forwarded, a malformed response can still be distinguished from a slow one.
-const MAX_BUFFERING_TIME: Duration = Duration::from_millis(250);
 /// An attempt may need a head for a pooled connection, another for the connection that replaces it, and a
 /// third one if the process was suspended in between.
 const MAX_HEADS_PER_ATTEMPT: usize = 3;
@@ -315,7 +310,11 @@
             lease.monitor.begin_request(Some(write_check_fn(write_check)));
             lease.monitor.attempt_stats.replace(stats);
             let without_body = bytes.is_empty() && matches!(payload.method, Method::GET | Method::HEAD);
-            if without_body { request.send() } else { request.send_body(bytes.clone()) }
+            match bytes.len() {
+                _ if without_body => request.send(),
+                ..=PIECE_BYTES => request.send_body(bytes.clone()),
+                _ => request.send_body(Pieces::from(bytes.clone())),
+            }
         }
         // The time left runs from the last byte of the body, so the head can't become outdated.
         Body::Streamed(upload) => {
@@ -374,71 +373,40 @@
     let monitor = lease.monitor.clone();
     let received = async {
         let head = Head::of(&response);
-        let length = if backend::is_final(head.status) && *method != Method::HEAD {
-            head.content_length()
-        } else {
-            None
-        };
+        let is_final = backend::is_final(head.status);
+        let length = if is_final && *method != Method::HEAD { head.content_length() } else { None };
         if length.is_some_and(|length| length > MAX_BODY_BYTES) {
             return Err(Outcome::Error);
         }
-        let (body, has_more) = buffer_start(&monitor, &mut response, length.unwrap_or(0)).await?;
-        if !has_more {
-            check_complete(&monitor, method, &response, body.len() as u64)?;
-        } else if !backend::is_final(head.status) {
+        let reader = StartReader::new(&context.memory, length, is_final);
+        let start = reader.read(&mut response).await.map_err(|e| outcome_of_body_error(&e, &monitor))?;
+        if !start.has_more {
+            check_complete(&monitor, method, &response, start.received_bytes)?;
+        } else if !is_final {
             return Err(Outcome::Error); // an error response is not forwarded, so its long body is not needed
         }
-        Ok((head, body, has_more.then_some(response)))
+        Ok((head, start))
     };
-    let (head, body, response) = tokio::select! {
+    let (head, start) = tokio::select! {
         biased;
         received = received => received?,
         () = monitor.wait_until_stalled() => return Err(Outcome::Error),
     };
     let closes_connection = head.closes_connection();
-    let Some(response) = response else {
+    let ResponseStart { bytes, received_bytes, has_more, reservation } = start;
+    if !has_more {
         if !closes_connection {
             context.backends.release(lease);
         }
-        return Ok((head, body.into(), None));
-    };
-    // While no memory is free, nothing is read from the endpoint. The time of the attempt continues to run.
-    let reservation = context.body_memory.reserve(MAX_IN_TRANSIT_BYTES).await;
-    let (sender, download) = body_channel(head.content_length(), reservation);
-    let received_bytes = body.len() as u64;
-    sender.send(body).await; // does not wait: the channel is empty
+        let body = ResponseContent::Buffered(Pieces::new(bytes, reservation));
+        return Ok((head, body, None));
+    }
+    let (sender, download) = body_channel(head.content_length(), bytes.into(), reservation);
     let remainder =
         Box::new(ResponseRemainder { sender, lease, response, closes_connection, received_bytes });
     Ok((head, ResponseContent::Streamed(download), Some(remainder)))
 }
 
-/// Buffers a short body whole, or the start of a long one. The flag is true if there is more to read.
-async fn buffer_start(
-    monitor: &ResponseMonitor,
-    response: &mut ClientResponse,
-    length: u64,
-) -> Result<(Bytes, bool), Outcome> {
-    let forward_at = Instant::now() + MAX_BUFFERING_TIME;
-    let mut buffered = BufferedBody::default();
-    loop {
-        let chunk = if length > MAX_BUFFERED_BYTES as u64 && buffered.len() > 0 {
-            tokio::select! {
-                biased;
-                chunk = response.next() => chunk,
-                () = sleep_until(forward_at.into()) => break,
-            }
-        } else {
-            response.next().await
-        };
-        let Some(chunk) = chunk else { return Ok((buffered.bytes(), false)) };
-        buffered.push(chunk.map_err(|e| outcome_of_body_error(&e, monitor))?);
-        if buffered.len() > MAX_BUFFERED_BYTES {
-            break;
-        }
-    }
-    Ok((buffered.bytes(), true))
-}
-
 /// Forwards the remainder of a response as fast as the client reads it.
 async fn forward_remainder(context: &Context, remainder: ResponseRemainder, method: &Method) -> Outcome {
     let ResponseRemainder { sender, lease, mut response, closes_connection, mut received_bytes } = remainder;
--- a/crates/proxy/src/stages/attempt/tests.rs
+++ b/crates/proxy/src/stages/attempt/tests.rs
@@ -5,6 +5,7 @@
 use crate::stages::context::{EventSink, Limits};
 use actix_http::error::ParseError;
 use actix_http::header::HeaderValue;
+use bytes::Bytes;
 use olivecart_decisions::RequestId;
 use rustix::io::Errno;
 use std::cell::{Cell, RefCell};
@@ -65,7 +66,7 @@
 impl Harness {
     fn new(addr: SocketAddr, connect: Rc<dyn Connect>) -> Harness {
         let log = slog::Logger::root(slog::Discard, slog::o!());
-        let descriptors = Rc::new(Descriptors::new(9));
+        let descriptors = Rc::new(Descriptors::new(9, Rc::default()));
         let backends = Backends::new(LONG, LONG, descriptors, log).with_connect(connect);
         backends.update_endpoint(ENDPOINT, Some(addr), None, true);
         let recorder = Rc::new(Recorder::default());
--- a/crates/proxy/src/stages/context.rs
+++ b/crates/proxy/src/stages/context.rs
@@ -3,7 +3,7 @@
 
 use super::request_table::RequestTable;
 use crate::backends::Backends;
-use crate::bodies::BodyMemoryLimit;
+use crate::memory::MemoryAccountant;
 use crate::stats::Stats;
 use olivecart_decisions::Event;
 use std::cell::Cell;
@@ -34,8 +34,8 @@
     pub backends: Backends,
     /// Limits from the settings.
     pub limits: Limits,
-    /// The memory limit for long bodies.
-    pub body_memory: Rc<BodyMemoryLimit>,
+    /// The memory of the process.
+    pub memory: Rc<MemoryAccountant>,
     /// Metrics; `None` if nothing reads them.
     pub stats: Option<Arc<Stats>>,
     /// The number of open requests of this cluster, and its limit.
@@ -54,7 +54,7 @@
         request_table: Rc<RequestTable>,
         backends: Backends,
         limits: Limits,
-        body_memory: Rc<BodyMemoryLimit>,
+        memory: Rc<MemoryAccountant>,
         stats: Option<Arc<Stats>>,
     ) -> Context {
         let (open_requests, max_open_requests, all_detached) =
@@ -63,7 +63,7 @@
             request_table,
             backends,
             limits,
-            body_memory,
+            memory,
             stats,
             open_requests,
             max_open_requests,
--- a/crates/proxy/src/stages/mod.rs
+++ b/crates/proxy/src/stages/mod.rs
@@ -14,5 +14,6 @@
 pub mod parse;
 pub mod request_table;
 pub mod response;
+mod response_start;
 pub mod routing;
 mod write_check;
--- a/crates/proxy/src/stages/parse.rs
+++ b/crates/proxy/src/stages/parse.rs
@@ -2,92 +2,243 @@
 //! a long one).
 
 use crate::bodies::{
-    BodyMemoryLimit, BodyMemoryReservation, BufferedBody, MAX_BUFFERED_BYTES, MAX_IN_TRANSIT_BYTES,
-    RequestBody,
+    BufferedBody, MAX_BUFFERED_BYTES, RequestBody, STREAMED_BODY_MEMORY, USED_BUFFERS_BYTES,
 };
 use crate::call::{Body, Call};
+use crate::clients::Client;
+use crate::memory::{
+    BufferUse, IN_TRANSIT_BYTES, MemoryAccountant, Owner, PIECE_BYTES, PendingReservation, Priority,
+    ReadAllowance, Reservation,
+};
 use crate::platform::client::{self, Reject};
 use crate::shutdown_deadline::ShutdownDeadline;
-use actix_http::Request;
+use actix_http::{Payload, Request};
 use futures_util::StreamExt;
 use olivecart_decisions::{ClassId, TenantId};
 use olivecart_settings::Site;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::time::sleep;
+use tokio::time::{Sleep, sleep};
 
-/// The bytes of a long body that are buffered before an endpoint is chosen. From then on, a client that sends
-/// slowly occupies one of the endpoint's few connections.
+/// The bytes of a long body that are buffered before an endpoint is chosen, if its length is unknown or not
+/// greater. From then on, a client that sends slowly occupies one of the endpoint's few connections.
 const READ_AHEAD_BYTES: usize = 256 * 1024;
-/// How long a long body waits for memory. Until it has some, nothing more is read from its client.
+/// The memory of a body of unknown length that is buffered up to [`READ_AHEAD_BYTES`]. Its buffer doubles when it
+/// is full, and is copied then.
+const GROWING_BODY_MEMORY: usize = 3 * READ_AHEAD_BYTES + IN_TRANSIT_BYTES;
+/// The longest wait of a body for memory. Until it has some, nothing more is read from its client.
 const MEMORY_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// What the requests of a listener share while they are parsed.
+pub struct ParseContext<'a> {
+    /// The settings, with the names that requests may use.
+    pub site: &'a RefCell<Site>,
+    /// The memory of the process.
+    pub memory: &'a Rc<MemoryAccountant>,
+    /// When requests must be answered, once a shutdown has begun.
+    pub shutdown: &'a ShutdownDeadline,
+}
+
 /// Parses a request. The time that the client waits for a response runs from the request's last byte.
 pub async fn parse(
+    context: &ParseContext<'_>,
     mut request: Request,
-    site: &RefCell<Site>,
-    body_memory: &Rc<BodyMemoryLimit>,
-    shutdown: &ShutdownDeadline,
+    client: &Rc<Client>,
 ) -> Result<Call, Reject> {
     let fields = client::fields(request.head())?;
-    let (class, time_left) = {
-        let site = site.borrow();
+    let (class, time_left, weight) = {
+        let site = context.site.borrow();
         let class = site.classes.get(&fields.class).ok_or_else(client::unknown_class)?;
-        let class_deadline = || Duration::from_nanos(site.settings.classes[class as usize].client_deadline);
-        (ClassId(class as u16), fields.time_left.unwrap_or_else(class_deadline))
+        let settings = &site.settings.classes[class as usize];
+        let class_deadline = || Duration::from_nanos(settings.client_deadline);
+        let time_left = fields.time_left.unwrap_or_else(class_deadline);
+        (ClassId(class as u16), time_left, settings.priority_weight)
+    };
+    let reader = BodyReader {
+        context,
+        client,
+        length: fields.length,
+        client_timeout: time_left,
+        weight,
+        buffered: BufferedBody::default(),
+        memory: BodyMemory::Unreserved,
     };
-    let body = read_body(&mut request, fields.length, time_left, body_memory, shutdown).await?;
+    let body = reader.read(request.take_payload()).await?;
     let deadline = Instant::now() + time_left;
-    let tenant = fields.tenant.and_then(|t| site.borrow().tenants.get(&t)).map(|t| TenantId(t as u16));
+    let tenant = fields.tenant.and_then(|t| context.site.borrow().tenants.get(&t));
+    let tenant = tenant.map(|t| TenantId(t as u16));
     let payload = Rc::new(client::payload(request.head(), body));
     let authority = request.head().uri.authority().cloned(); // None for most requests
     Ok(Call { id: fields.id, class, tenant, retry: fields.retry, deadline, authority, payload })
 }
 
-async fn read_body(
-    request: &mut Request,
+/// The memory of a body while it is read.
+enum BodyMemory {
+    /// What the connection may hold without a reservation has sufficed so far.
+    Unreserved,
+    /// The body waits for memory. The timeout is that of the whole wait.
+    Waiting(PendingReservation, std::pin::Pin<Box<Sleep>>),
+    Reserved(Reservation),
+}
+
+/// Reads one body.
+struct BodyReader<'a> {
+    context: &'a ParseContext<'a>,
+    client: &'a Rc<Client>,
+    /// The length of the body, if the head gives it.
     length: Option<u64>,
     client_timeout: Duration,
-    body_memory: &Rc<BodyMemoryLimit>,
-    shutdown: &ShutdownDeadline,
-) -> Result<Body, Reject> {
-    let mut stream = request.take_payload();
-    let (mut buffered, mut reservation): (BufferedBody, Option<BodyMemoryReservation>) = Default::default();
-    while let Some(chunk) = stream.next().await {
-        buffered.push(chunk.map_err(|_| Reject::Broken)?);
-        let received_bytes = buffered.len();
-        if received_bytes > MAX_BUFFERED_BYTES && reservation.is_none() {
-            reservation = Some(reserve_memory(body_memory, shutdown).await?);
+    /// The weight of the request among those that wait for memory.
+    weight: f64,
+    buffered: BufferedBody,
+    memory: BodyMemory,
+}
+
+impl BodyReader<'_> {
+    /// Reads the body, or the start of a long one.
+    async fn read(mut self, mut payload: Payload) -> Result<Body, Reject> {
+        let allowance = self.client.allowance().clone();
+        loop {
+            let chunk = tokio::select! {
+                biased;
+                chunk = payload.next() => chunk,
+                memory = wait_for_memory(&mut self.memory, self.client, self.context.shutdown) => {
+                    self.memory = BodyMemory::Reserved(memory?);
+                    continue;
+                }
+                () = allowance.wait_until_exhausted(), if !self.is_waiting() => {
+                    self.allow_next_read(&allowance);
+                    continue;
+                }
+            };
+            let Some(chunk) = chunk else { return Ok(self.finish()) };
+            self.buffered.push(chunk.map_err(|_| Reject::Broken)?);
+            if let Some(reservation) = self.take_streamed_reservation() {
+                return Ok(self.stream_rest(payload, allowance, reservation));
+            }
         }
-        // A body that is known to exceed the read-ahead is streamed at once.
-        let is_long = received_bytes > READ_AHEAD_BYTES
-            || length.is_some_and(|length| length > READ_AHEAD_BYTES as u64);
-        if let Some(reservation) = reservation.take_if(|_| is_long) {
-            let buffered = vec![buffered.bytes()];
-            return Ok(Body::Streamed(Rc::new(RequestBody::new(
-                length,
-                buffered,
-                stream,
-                client_timeout,
-                reservation,
-            ))));
+    }
+
+    fn is_waiting(&self) -> bool {
+        matches!(self.memory, BodyMemory::Waiting(..))
+    }
+
+    /// Lets the connection read the next piece if there is memory for it, and otherwise starts to wait for some.
+    fn allow_next_read(&mut self, allowance: &ReadAllowance) {
+        match &self.memory {
+            BodyMemory::Unreserved => {
+                let priority = Priority {
+                    weight: self.weight,
+                    remaining_bytes: self.length.map_or(u64::MAX, |length| self.remaining(length)),
+                };
+                let reserving =
+                    self.context.memory.reserve(Owner::RequestBodies, self.required_memory(), priority);
+                let timeout = Box::pin(sleep(MEMORY_TIMEOUT.min(self.client_timeout)));
+                self.memory = BodyMemory::Waiting(reserving, timeout);
+            }
+            BodyMemory::Waiting(..) => {}
+            BodyMemory::Reserved(_) => {
+                self.client.on_buffers_used(BufferUse::Reserved);
+                self.buffered.expect_bytes(self.expected_bytes());
+                allowance.renew(
+                    self.length.map_or(PIECE_BYTES, |length| {
+                        PIECE_BYTES.min(self.remaining(length) as usize).max(1)
+                    }),
+                );
+            }
         }
     }
-    Ok(Body::Buffered { bytes: buffered.bytes(), _reservation: reservation })
+
+    fn remaining(&self, length: u64) -> u64 {
+        length.saturating_sub(self.buffered.len() as u64)
+    }
+
+    /// Whether the length is known and the body is buffered whole.
+    fn is_buffered_whole(&self) -> bool {
+        self.length.is_some_and(|length| length <= READ_AHEAD_BYTES as u64)
+    }
+
+    /// The bytes that are buffered before the body is streamed, as far as that is known.
+    fn expected_bytes(&self) -> usize {
+        match self.length {
+            Some(length) if self.is_buffered_whole() => length as usize,
+            _ => MAX_BUFFERED_BYTES + PIECE_BYTES,
+        }
+    }
+
+    /// The memory for the body until its end, or until it is streamed. Whoever holds memory never waits for
+    /// more.
+    fn required_memory(&self) -> usize {
+        match self.length {
+            Some(length) if self.is_buffered_whole() => length as usize + IN_TRANSIT_BYTES,
+            _ => STREAMED_BODY_MEMORY,
+        }
+    }
+
+    /// Returns the reservation if the rest of the body is to be streamed. A body of unknown length is buffered
+    /// further if there is memory for that.
+    fn take_streamed_reservation(&mut self) -> Option<Reservation> {
+        let received_bytes = self.buffered.len();
+        if received_bytes <= MAX_BUFFERED_BYTES {
+            return None;
+        }
+        let BodyMemory::Reserved(reservation) = &mut self.memory else { return None };
+        let is_streamed = match self.length {
+            Some(length) => length > READ_AHEAD_BYTES as u64,
+            None => received_bytes > READ_AHEAD_BYTES || !reservation.try_grow_to(GROWING_BODY_MEMORY),
+        };
+        if !is_streamed {
+            return None;
+        }
+        match std::mem::replace(&mut self.memory, BodyMemory::Unreserved) {
+            BodyMemory::Reserved(reservation) => Some(reservation),
+            BodyMemory::Unreserved | BodyMemory::Waiting(..) => None,
+        }
+    }
+
+    /// Returns a body that was read to its end.
+    fn finish(self) -> Body {
+        let bytes = self.buffered.bytes();
+        let reservation = match self.memory {
+            BodyMemory::Reserved(mut reservation) => {
+                reservation.shrink_to(bytes.len() + USED_BUFFERS_BYTES);
+                Some(reservation)
+            }
+            BodyMemory::Unreserved | BodyMemory::Waiting(..) => None,
+        };
+        Body::Buffered { bytes, _reservation: reservation }
+    }
+
+    /// Returns a body whose rest is read while it is sent.
+    fn stream_rest(
+        self,
+        payload: Payload,
+        allowance: Rc<ReadAllowance>,
+        mut reservation: Reservation,
+    ) -> Body {
+        let start = self.buffered.bytes();
+        reservation.shrink_to(start.len() + IN_TRANSIT_BYTES);
+        let body =
+            RequestBody::new(self.length, start.into(), payload, self.client_timeout, allowance, reservation);
+        Body::Streamed(Rc::new(body))
+    }
 }
 
-/// Reserves the memory of a long body. A client whose last byte is in the system's buffers already has sent its
-/// whole request, so that it must have a response before the end of a shutdown.
-async fn reserve_memory(
-    body_memory: &Rc<BodyMemoryLimit>,
+/// Waits for the reservation of a body that waits for memory. A client whose last byte is in the system's buffers
+/// already has sent its whole request, so that it must have a response before the end of a shutdown.
+async fn wait_for_memory(
+    memory: &mut BodyMemory,
+    client: &Client,
     shutdown: &ShutdownDeadline,
-) -> Result<BodyMemoryReservation, Reject> {
+) -> Result<Reservation, Reject> {
+    let BodyMemory::Waiting(reserving, timeout) = memory else { return std::future::pending().await };
     tokio::select! {
         biased;
-        reservation = body_memory.reserve(READ_AHEAD_BYTES + MAX_IN_TRANSIT_BYTES) => Ok(reservation),
-        () = sleep(MEMORY_TIMEOUT) => Err(Reject::NoRoom),
+        reservation = reserving => Ok(reservation),
+        () = timeout => Err(Reject::NoRoom),
         () = shutdown.reached() => Err(Reject::NoRoom),
+        () = client.wait_for_peer_close() => Err(Reject::Broken),
     }
 }
 
--- a/crates/proxy/src/stages/write_check/tests.rs
+++ b/crates/proxy/src/stages/write_check/tests.rs
@@ -28,7 +28,7 @@
 fn context_with_request() -> (Rc<Context>, RequestId) {
     let log = slog::Logger::root(slog::Discard, slog::o!());
     let second = Duration::from_secs(1);
-    let backends = Backends::new(second, second, Rc::new(Descriptors::new(1)), log);
+    let backends = Backends::new(second, second, Rc::new(Descriptors::new(1, Rc::default())), log);
     backends.update_endpoint(ENDPOINT, addr(1), STARTED, true);
     let limits = Limits { max_open_requests: 9, hedging_enabled: false };
     let event_sink: Weak<dyn EventSink> = Weak::<NullSink>::new();
--- a/crates/proxy/src/stats.rs
+++ b/crates/proxy/src/stats.rs
@@ -1,6 +1,7 @@
 //! The counters and gauges that the admin server reports. Only the event loop writes them, each at one place.
 //! Any thread can read them without the event loop.
 
+use crate::memory::{MemoryAccountant, MemoryGauges};
 use std::fmt;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, Ordering::Relaxed};
@@ -26,6 +27,7 @@
     pool_size: AtomicU64,
     pool_ejected: AtomicU64,
     ready: AtomicBool,
+    memory: MemoryGauges,
 }
 
 struct Class {
@@ -78,6 +80,16 @@
         self.ready.store(ready, Relaxed);
     }
 
+    /// The gauges of memory.
+    pub fn memory(&self) -> &MemoryGauges {
+        &self.memory
+    }
+
+    /// Updates the gauges of memory.
+    pub fn publish_memory(&self, memory: &MemoryAccountant) {
+        self.memory.publish(memory);
+    }
+
     /// Whether the proxy is ready to serve.
     pub fn is_ready(&self) -> bool {
         self.ready.load(Relaxed)
--- a/crates/proxy/tests/site/mod.rs
+++ b/crates/proxy/tests/site/mod.rs
@@ -29,13 +29,23 @@
 
     /// Same as [`Site::new`], with other settings.
     pub fn with(settings: &str, memory_mb: usize, backends: &[(&str, SocketAddr)]) -> Site {
+        Site::with_limits(settings, 256, memory_mb, backends)
+    }
+
+    /// Same as [`Site::with`], with a limit on descriptors.
+    pub fn with_limits(
+        settings: &str,
+        sockets: usize,
+        memory_mb: usize,
+        backends: &[(&str, SocketAddr)],
+    ) -> Site {
         let (listen, discovery) = (free_port(), free_port());
         let server = |(id, addr): &(&str, SocketAddr)| {
             format!(r#"{{"id":"{id}","addr":"{addr}","state":"ready","zone":"z","cell":1}}"#)
         };
         let servers: Vec<String> = backends.iter().map(server).collect();
         let config = config_file(&format!(
-            r#"{{"listen":"{listen}","discovery":"{discovery}","limits":{{"sockets":256,"memory_mb":{memory_mb}}},
+            r#"{{"listen":"{listen}","discovery":"{discovery}","limits":{{"sockets":{sockets},"memory_mb":{memory_mb}}},
             "known":{{"version":1,"full":true,"servers":[{}]}},"settings":{settings}}}"#,
             servers.join(",")
         ));
