Decide where a body ends in one place, for requests and responses

Cause: the monitor and awc read the chunks, stages/attempt.rs promised the client the head's Content-Length and compared it after the body; up to 64 KiB that was in time, beyond it was not. No place owned the decision.

Change: framing/ decides from the head, before a byte is forwarded, for both directions. What can be read in two ways is rejected by name (log, edge.rejected_request.FORM, edge.rejected_response.FORM): 400 for a client, a failed attempt for an endpoint. The monitor, the promised length and the check of completeness use the decision; heads that awc would read otherwise are replaced. Chunk lines, trailers and overhead are limited. The limit of one report a minute for each endpoint moved from the idle pool into ReportLimiter, with its test.

Designs weighed: chunks win (no refusals, but two recipients may disagree), hold until the end (up to 32 MB and the whole duration for each response), reject (taken; a rejected form is a failed attempt).

Tests: tests/framing.rs on the code before: all three fail (a 200 with 70,000 of 100,000 bytes; a request with a WebSocket upgrade and a length gets 200; trailers without end are read on). With the change they pass, as do framing/tests.rs (the matrix) and 20,000 random responses against an independent strict reader. Tests of bodies, closing, connection_reuse, discovery and proxy pass.

--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -4,13 +4,16 @@
 //! which connection an attempt uses, how many connections are open, and when an idle connection is closed.
 
 mod idle_pool;
+mod report_limiter;
 mod response_variety;
 
 use self::idle_pool::{IdlePool, MaxWait, ReusedConnection};
+use self::report_limiter::ReportLimiter;
 use self::response_variety::ResponseVariety;
 use crate::bodies::MAX_BODY_BYTES;
 use crate::connect::{Connect, ConnectFailure, SystemConnect};
 use crate::descriptors::{ConnectionPermit, Descriptors, IdleConnectionPool, OpenConnection};
+use crate::framing::FramingError;
 use crate::http_client::{self, Established};
 use crate::memory::EndpointsCharge;
 use crate::response_monitor::ResponseMonitor;
@@ -111,6 +114,8 @@
     started: Option<u64>,
     ready: bool,
     idle: IdlePool<Lease>,
+    excess_bytes_reports: ReportLimiter,
+    rejected_form_reports: ReportLimiter,
 }
 
 impl Backend {
@@ -368,11 +373,21 @@
         }
         let mut table = self.table.0.borrow_mut();
         let Some(backend) = table.get_mut(target.endpoint.0 as usize) else { return };
-        if backend.idle.is_report_due(Instant::now()) {
+        if backend.excess_bytes_reports.is_due(Instant::now()) {
             warn!(self.log, "endpoint sent bytes after the end of a response"; "peer" => %target.addr);
         }
     }
 
+    /// Logs, from time to time, that a response of an endpoint was rejected for its form.
+    pub fn log_rejected_form(&self, target: Target, form: FramingError) {
+        let mut table = self.table.0.borrow_mut();
+        let Some(backend) = table.get_mut(target.endpoint.0 as usize) else { return };
+        if backend.rejected_form_reports.is_due(Instant::now()) {
+            warn!(self.log, "malformed response"; "peer" => %target.addr, "form" => form.name(),
+                "reason" => %form);
+        }
+    }
+
     /// Closes the idle connections to an endpoint.
     pub fn close_idle(&self, endpoint: EndpointId) {
         if let Some(backend) = self.table.0.borrow_mut().get_mut(endpoint.0 as usize) {
--- a/crates/proxy/src/backends/idle_pool.rs
+++ b/crates/proxy/src/backends/idle_pool.rs
@@ -20,9 +20,6 @@
 /// for at endpoints that lately did so.
 const CLOSE_DETECTION_DELAY: Duration = Duration::from_millis(5);
 
-/// The minimum time between two reports of excess bytes from an endpoint.
-const REPORT_INTERVAL: Duration = Duration::from_secs(60);
-
 /// Idle connections to one endpoint. `T` is a connection.
 pub struct IdlePool<T> {
     /// In the order in which they became idle.
@@ -33,8 +30,6 @@
     last_response: Option<ResponseDigest>,
     /// When the endpoint was last found to have closed a pooled connection.
     closed_pooled_at: Option<Instant>,
-    /// When excess bytes were last reported.
-    reported_at: Option<Instant>,
 }
 
 struct IdleConnection<T> {
@@ -80,7 +75,6 @@
             connect_time: Duration::ZERO,
             last_response: None,
             closed_pooled_at: None,
-            reported_at: None,
         }
     }
 }
@@ -152,15 +146,6 @@
     pub fn replace_last_response(&mut self, response: ResponseDigest) -> Option<ResponseDigest> {
         self.last_response.replace(response)
     }
-
-    /// Whether bytes after the end of a response are to be reported, at `now`.
-    pub fn is_report_due(&mut self, now: Instant) -> bool {
-        let is_due = self.reported_at.is_none_or(|at| now.saturating_duration_since(at) >= REPORT_INTERVAL);
-        if is_due {
-            self.reported_at = Some(now);
-        }
-        is_due
-    }
 }
 
 #[cfg(test)]
--- a/crates/proxy/src/backends/idle_pool/tests.rs
+++ b/crates/proxy/src/backends/idle_pool/tests.rs
@@ -91,10 +91,3 @@
     pool.close_longest_idle();
     assert_eq!(take(&mut pool, start + QUIET_PERIOD + MS, MaxWait::ConnectTime), Some("e"));
 }
-
-#[test]
-fn excess_bytes_are_reported_once_a_minute() {
-    let (mut pool, start) = pool(FAST_CONNECT);
-    let due = [0, 1, 59_999, 60_000, 60_001].map(|ms| pool.is_report_due(start + ms * MS));
-    assert_eq!(due, [true, false, false, true, false]);
-}
--- a/crates/proxy/src/bodies/request_body.rs
+++ b/crates/proxy/src/bodies/request_body.rs
@@ -1,6 +1,7 @@
 //! A request body that is streamed to an endpoint. Its start is buffered, so that a retry can send it again.
 
 use super::{MAX_BODY_BYTES, Pieces, USED_BUFFERS_BYTES};
+use crate::framing::{FramingError, OverheadLimit};
 use crate::memory::{IN_TRANSIT_BYTES, PIECE_BYTES, ReadAllowance, Reservation};
 use actix_http::body::{BodySize, MessageBody};
 use actix_http::error::PayloadError;
@@ -23,6 +24,9 @@
     /// The body is longer than the limit.
     #[error("request body is longer than {MAX_BODY_BYTES} bytes")]
     TooLong,
+    /// The body has more bytes beside its own than it can need.
+    #[error("{0}")]
+    Framing(#[from] FramingError),
     /// A part of the body is no longer buffered, since another attempt has received it.
     #[error("request body is no longer buffered")]
     Released,
@@ -49,6 +53,7 @@
     client_timeout: Duration,
     /// How much the client's connection may read.
     allowance: Rc<ReadAllowance>,
+    overhead: Cell<OverheadLimit>,
     reservation: RefCell<Reservation>,
 }
 
@@ -86,6 +91,7 @@
             last_progress: Cell::new(Instant::now()),
             client_timeout,
             allowance,
+            overhead: Cell::default(),
             reservation: RefCell::new(reservation),
         }
     }
@@ -143,12 +149,19 @@
     }
 
     /// Lets the connection read the next piece, as all that it has read was passed on.
-    fn allow_next_read(&self) {
-        let left = self.length.map(|length| length.saturating_sub(self.received_bytes.get()));
+    ///
+    /// # Errors
+    /// More was read than a body of this length can need.
+    fn allow_next_read(&self) -> Result<(), FramingError> {
+        let received_bytes = self.received_bytes.get();
+        let left = self.length.map(|length| length.saturating_sub(received_bytes));
         let piece = left.map_or(PIECE_BYTES, |left| PIECE_BYTES.min(left as usize));
-        if piece > 0 {
-            self.allowance.renew(piece);
+        if piece > 0 && self.allowance.renew(piece) {
+            let mut overhead = self.overhead.get();
+            overhead.on_read(piece, received_bytes)?;
+            self.overhead.set(overhead);
         }
+        Ok(())
     }
 
     fn poll_source(
@@ -157,8 +170,10 @@
         number: u32,
     ) -> Poll<Option<Result<Bytes, RequestBodyError>>> {
         let polled = self.source.borrow_mut().poll_next_unpin(cx);
-        if polled.is_pending() {
-            self.allow_next_read();
+        if polled.is_pending()
+            && let Err(error) = self.allow_next_read()
+        {
+            return Poll::Ready(Some(Err(error.into())));
         }
         let chunk = ready!(polled);
         self.last_progress.set(Instant::now());
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -11,6 +11,7 @@
 use crate::call::{Body, Call, ResponseContent, Verdict};
 use crate::clients::{Client, Clients, Connection, RequestBody, Stream};
 use crate::config::Sockets;
+use crate::framing::{FramingError, Side};
 use crate::latency::LatencyEstimate;
 use crate::memory::{BufferUse, MemoryAccountant, SHORT_MESSAGE_BYTES, UNRESERVED_BYTES};
 use crate::platform::client;
@@ -185,6 +186,12 @@
         self.latency.get().upper_bound()
     }
 
+    /// Counts and logs a request that was rejected for its form.
+    fn on_malformed_request(&self, form: FramingError) {
+        debug!(self.log, "malformed request"; "form" => form.name(), "reason" => %form);
+        self.stats.iter().for_each(|stats| stats.rejected_forms().count(Side::Client, form));
+    }
+
     /// The number of open connections.
     pub fn connections(&self) -> usize {
         self.clients.open()
@@ -269,6 +276,9 @@
     let client = connection.client().clone();
     let serving = service.call((Stream(connection.clone()), Some(peer)));
     if let Err(e) = connection.serve(serving).await {
+        if matches!(e, DispatchError::Parse(_)) {
+            control.on_malformed_request(FramingError::InvalidHead);
+        }
         debug!(control.log, "connection ended"; "peer" => %peer, "error" => %e);
     }
     connection.close().await;
@@ -315,6 +325,9 @@
             Ok(keep_alive_until_sent(response, in_flight))
         }
         Err(reject) => {
+            if let client::Reject::Framing(form) = reject {
+                control.on_malformed_request(form);
+            }
             client.on_request_rejected();
             Ok(client::buffered(client::rejection(&reject)))
         }
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -22,6 +22,7 @@
 mod console;
 mod descriptors;
 mod discovery;
+mod framing;
 mod hot_restart;
 mod http_client;
 mod interrupted;
--- a/crates/proxy/src/memory/read_allowance.rs
+++ b/crates/proxy/src/memory/read_allowance.rs
@@ -31,11 +31,13 @@
         }
     }
 
-    /// Allows more to be read if nothing remains.
-    pub fn renew(&self, bytes: usize) {
-        if self.remaining.get() == 0 {
+    /// Allows more to be read if nothing remains. Returns whether that was so.
+    pub fn renew(&self, bytes: usize) -> bool {
+        let is_exhausted = self.remaining.get() == 0;
+        if is_exhausted {
             self.set(bytes);
         }
+        is_exhausted
     }
 
     /// What remains. If that is nothing, notes that the reader waits and tells the consumer.
--- a/crates/proxy/src/platform/client.rs
+++ b/crates/proxy/src/platform/client.rs
@@ -6,6 +6,7 @@
 use super::{end_to_end, names};
 use crate::bodies::MAX_BODY_BYTES;
 use crate::call::{Body, Call, ClusterUnavailable, Payload, RequestAttributes, ResponseContent, Verdict};
+use crate::framing::{self, BodyFraming, FramingError};
 use actix_http::header::{self, HeaderName, HeaderValue};
 use actix_http::{ConnectionType, Method, RequestHead, Response, ResponseBuilder, StatusCode};
 use bytes::Bytes;
@@ -25,6 +26,9 @@
     /// A header is missing or has an invalid value.
     #[error("{0}: {1}")]
     Header(HeaderName, &'static str),
+    /// Where its body ends is not certain.
+    #[error("{0}")]
+    Framing(#[from] FramingError),
     /// The method cannot be forwarded.
     #[error("method not allowed")]
     Method,
@@ -45,7 +49,7 @@
 impl Reject {
     fn status(&self) -> StatusCode {
         match self {
-            Reject::Header(..) | Reject::Broken => StatusCode::BAD_REQUEST,
+            Reject::Header(..) | Reject::Framing(_) | Reject::Broken => StatusCode::BAD_REQUEST,
             Reject::Method => StatusCode::METHOD_NOT_ALLOWED,
             Reject::DuplicateId => StatusCode::CONFLICT,
             Reject::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -66,8 +70,8 @@
     pub time_left: Option<Duration>,
     /// Whether the client marked the request as a retry.
     pub retry: bool,
-    /// The length of the body, if the head gives it.
-    pub length: Option<u64>,
+    /// Where the body ends.
+    pub framing: BodyFraming,
 }
 
 /// Reads the fields from the head of a request.
@@ -80,8 +84,8 @@
         Some(value) => value.to_str().map(Some).map_err(|_| Reject::Header(name.clone(), "not plain text")),
     };
     // A body that is known to be too long is rejected unread.
-    let length = text(&header::CONTENT_LENGTH)?.and_then(|l| l.trim().parse::<u64>().ok());
-    if length.is_some_and(|length| length > MAX_BODY_BYTES) {
+    let framing = framing::of_request(head)?;
+    if framing.length().is_some_and(|length| length > MAX_BODY_BYTES) {
         return Err(Reject::TooLarge);
     }
     // Endpoints don't execute requests without an id.
@@ -97,7 +101,7 @@
         ))?),
     };
     let (class, tenant) = (class.to_owned(), text(&names::TENANT)?.map(str::to_owned));
-    Ok(Fields { id, class, tenant, time_left, retry: text(&names::RETRY)? == Some("1"), length })
+    Ok(Fields { id, class, tenant, time_left, retry: text(&names::RETRY)? == Some("1"), framing })
 }
 
 /// Returns the rejection of a request whose class header names an unknown class.
--- a/crates/proxy/src/response_monitor.rs
+++ b/crates/proxy/src/response_monitor.rs
@@ -1,23 +1,22 @@
 //! Monitors the bytes received on a connection to an endpoint or to discovery: one response for each request
 //! written.
 //!
-//! The bytes of the final response are passed on to awc unchanged. Interim (1xx) responses are removed. A
+//! The body of the final response is passed on to awc unchanged. Interim (1xx) responses are removed. A
 //! response that is malformed or too long fails the read. Bytes after the end of a response are dropped, so
-//! that they are never read as the start of the next one, and the connection is not used again. Heads and
-//! bodies are split with actix-http's codec, so that awc splits them in the same places.
+//! that they are never read as the start of the next one, and the connection is not used again. Where a body ends is
+//! decided by [`framing`](crate::framing) from the head; a head that awc could read in another way is replaced.
 //!
 //! Some endpoints send a response twice. If the second copy arrives when the next request was already written, only
 //! its bytes show that it is not the response to that request. On a connection that was used again so soon
 //! ([`ResponseMonitor::set_drops_copies`]), a successful response that equals the one before is dropped, and the
 //! next one is awaited.
 
+use crate::framing::{self, BodyFraming, BodyScanner, ExpectedResponse, FramingError};
 use crate::response_digest::{DigestBuilder, ResponseDigest};
 use crate::stats::Stats;
 use crate::wire::{Peek, Socket, StreamObserver, uninterrupted};
-use actix_http::error::{ParseError, PayloadError};
-use actix_http::h1::{ClientCodec, ClientPayloadCodec, MessageType};
-use actix_http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
-use actix_http::{ResponseHead, StatusCode, Version};
+use actix_http::StatusCode;
+use actix_http::h1::ClientCodec;
 use bytes::BytesMut;
 use std::cell::{Cell, RefCell};
 use std::fmt;
@@ -35,7 +34,6 @@
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// A response that has started is given up if no byte is received for this time.
 const RESPONSE_IDLE_TIMEOUT: Duration = Duration::from_millis(1000);
-const HTTP_1_0: &[u8] = b"HTTP/1.0";
 const READ_BUFFER_BYTES: usize = 8 * 1024;
 
 /// Checks whether the first byte of a request may be written.
@@ -51,6 +49,10 @@
     pub peer_closed: Cell<bool>,
     /// Whether the received bytes are not a valid response.
     pub malformed: Cell<bool>,
+    /// The form for which the response was rejected, until this was asked.
+    rejected_form: Cell<Option<FramingError>>,
+    /// The framing of the current response, once its head was received.
+    framing: Cell<BodyFraming>,
     /// Whether the response has no body, whatever its head says.
     pub expects_no_body: Cell<bool>,
     /// Whether the connection kept for this request was closed, and another was established in its place.
@@ -104,7 +106,7 @@
     #[default]
     Idle,
     Head,
-    Body(ClientPayloadCodec),
+    Body(BodyScanner),
 }
 
 /// What the next received bytes are.
@@ -116,8 +118,15 @@
         /// Its length in bytes.
         length: usize,
     },
-    /// The head of a final response, or a part of its body.
-    Response {
+    /// The head of a final response.
+    Head {
+        /// Its length in bytes.
+        length: usize,
+        /// What awc reads in its place.
+        canonical: Option<BytesMut>,
+    },
+    /// A part of the body of a final response.
+    Body {
         /// Its length in bytes.
         length: usize,
     },
@@ -125,19 +134,13 @@
 
 /// The received bytes are not a valid response, or it is too long.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("malformed HTTP response")]
-struct MalformedResponse;
-
-impl From<ParseError> for MalformedResponse {
-    fn from(_: ParseError) -> MalformedResponse {
-        MalformedResponse
-    }
-}
-
-impl From<PayloadError> for MalformedResponse {
-    fn from(_: PayloadError) -> MalformedResponse {
-        MalformedResponse
-    }
+enum MalformedResponse {
+    /// Its body has no end that can be relied on.
+    #[error("malformed HTTP response: {0}")]
+    Framing(#[from] FramingError),
+    /// It reports success, and was received before the last byte of the request was written.
+    #[error("HTTP response precedes the last byte of its request")]
+    Premature,
 }
 
 impl fmt::Debug for ResponseMonitor {
@@ -154,6 +157,8 @@
             connected: flag(),
             peer_closed: flag(),
             malformed: flag(),
+            rejected_form: Cell::default(),
+            framing: Cell::new(BodyFraming::Empty),
             expects_no_body: flag(),
             reconnected: flag(),
             attempt_stats: RefCell::default(),
@@ -226,6 +231,16 @@
         matches!(self.reading.borrow().phase, Phase::Idle)
     }
 
+    /// The framing of the current response, whose head was received.
+    pub fn framing(&self) -> BodyFraming {
+        self.framing.get()
+    }
+
+    /// The form for which a response was rejected since the last call.
+    pub fn take_rejected_form(&self) -> Option<FramingError> {
+        self.rejected_form.take()
+    }
+
     /// Whether another request may be written: the response is complete, no bytes were received after it, no
     /// copy was dropped before it, and the peer has not closed the connection.
     pub fn is_reusable(&self) -> bool {
@@ -270,13 +285,15 @@
             match split {
                 Split::Incomplete => return Ok(()),
                 Split::Interim { length } => _ = reading.raw.split_to(length),
-                Split::Response { length } => {
+                Split::Head { length, canonical } => {
+                    let bytes = reading.raw.split_to(length);
+                    reading.decoded.extend_from_slice(canonical.as_ref().unwrap_or(&bytes));
+                    self.on_response_bytes(reading, &bytes);
+                }
+                Split::Body { length } => {
                     let bytes = reading.raw.split_to(length);
                     reading.decoded.extend_from_slice(&bytes);
-                    reading.digest.push(&bytes);
-                    if matches!(reading.phase, Phase::Idle) {
-                        self.on_response_complete(reading);
-                    }
+                    self.on_response_bytes(reading, &bytes);
                 }
             }
         }
@@ -286,59 +303,61 @@
         Ok(())
     }
 
+    fn on_response_bytes(&self, reading: &mut Reading, bytes: &[u8]) {
+        reading.digest.push(bytes);
+        if matches!(reading.phase, Phase::Idle) {
+            self.on_response_complete(reading);
+        }
+    }
+
     fn split_head(&self, reading: &mut Reading) -> Result<Split, MalformedResponse> {
-        // Decoded from a copy, since the bytes are passed on as they were received.
+        // Decoded from a copy, since most heads are passed on as they were received.
         let mut rest = reading.raw.clone();
-        let mut codec = ClientCodec::default();
-        let Some(mut head) = codec.decode(&mut rest)? else {
+        let decoded = ClientCodec::default().decode(&mut rest);
+        let Some(head) = decoded.map_err(|_| framing::rejected_response_form(&reading.raw))? else {
             let too_long = reading.length + reading.raw.len() > MAX_HEAD_BYTES;
-            return if too_long { Err(MalformedResponse) } else { Ok(Split::Incomplete) };
+            return if too_long { Err(FramingError::InvalidHead.into()) } else { Ok(Split::Incomplete) };
         };
-        if self.ends_with_connection(&codec, &head) {
-            // actix-http and awc read a body to the end of the connection for HTTP/1.0 only, so that the head is
-            // passed on with this version.
-            reading.raw[..HTTP_1_0.len()].copy_from_slice(HTTP_1_0);
-            (codec, rest) = (ClientCodec::default(), reading.raw.clone());
-            head = codec.decode(&mut rest)?.ok_or(MalformedResponse)?;
-        }
         if self.is_premature(head.status) {
-            return Err(MalformedResponse);
+            return Err(MalformedResponse::Premature);
         }
         let length = reading.raw.len() - rest.len();
         reading.length += length;
         if head.status.is_informational() && head.status != StatusCode::SWITCHING_PROTOCOLS {
             let too_long = reading.length > MAX_HEAD_BYTES;
-            return if too_long { Err(MalformedResponse) } else { Ok(Split::Interim { length }) };
+            return if too_long {
+                Err(FramingError::InvalidHead.into())
+            } else {
+                Ok(Split::Interim { length })
+            };
         }
-        let has_no_body = self.expects_no_body.get() || matches!(codec.message_type(), MessageType::None);
-        reading.phase = if has_no_body { Phase::Idle } else { Phase::Body(codec.into_payload_codec()) };
+        let framing = framing::of_response(&head, self.expected_response())?;
+        if framing.length().is_some_and(|length| length > self.max_body_bytes as u64) {
+            return Err(FramingError::BodyTooLong.into());
+        }
+        self.framing.set(framing);
+        reading.phase = BodyScanner::new(framing).map_or(Phase::Idle, Phase::Body);
         reading.length = 0;
         reading.is_success = head.status.is_success();
         reading.digest.reset();
-        Ok(Split::Response { length })
+        Ok(Split::Head { length, canonical: framing::canonical_head(&head, framing) })
     }
 
     fn split_body(&self, reading: &mut Reading) -> Result<Split, MalformedResponse> {
-        let Phase::Body(codec) = &mut reading.phase else { return Ok(Split::Incomplete) };
-        let mut rest = reading.raw.clone();
-        let mut is_complete = false;
-        while let Some(chunk) = codec.decode(&mut rest)? {
-            let Some(chunk) = chunk else {
-                is_complete = true;
-                break;
-            };
-            reading.length += chunk.len();
-            if reading.length > self.max_body_bytes {
-                return Err(MalformedResponse);
-            }
+        let Phase::Body(scanner) = &mut reading.phase else { return Ok(Split::Incomplete) };
+        let scanned = scanner.scan(&reading.raw)?;
+        reading.length += scanned.body_bytes as usize;
+        if reading.length > self.max_body_bytes {
+            return Err(FramingError::BodyTooLong.into());
         }
-        let length = reading.raw.len() - rest.len();
-        if is_complete {
+        if scanned.is_complete {
             reading.phase = Phase::Idle;
-        } else if length == 0 {
-            return Ok(Split::Incomplete); // the next chunk is not complete yet
         }
-        Ok(Split::Response { length })
+        Ok(Split::Body { length: scanned.bytes })
+    }
+
+    fn expected_response(&self) -> ExpectedResponse {
+        if self.expects_no_body.get() { ExpectedResponse::WithoutBody } else { ExpectedResponse::WithBody }
     }
 
     fn on_excess_bytes(&self) {
@@ -375,24 +394,15 @@
         self.responded_early.get() && status.is_success()
     }
 
-    /// Whether the head announces a body that ends with the connection.
-    fn ends_with_connection(&self, codec: &ClientCodec, head: &ResponseHead) -> bool {
-        let closes = || {
-            let values = head.headers.get_all(CONNECTION).filter_map(|v| v.to_str().ok());
-            values.flat_map(|v| v.split(',')).any(|option| option.trim().eq_ignore_ascii_case("close"))
-        };
-        head.version == Version::HTTP_11
-            && matches!(codec.message_type(), MessageType::None)
-            && !self.expects_no_body.get()
-            && !head.status.is_informational()
-            && !matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
-            && !head.headers.contains_key(CONTENT_LENGTH)
-            && !head.headers.contains_key(TRANSFER_ENCODING)
-            && closes()
+    fn on_malformed(&self, error: MalformedResponse) {
+        self.malformed.set(true);
+        if let MalformedResponse::Framing(form) = error {
+            self.rejected_form.set(Some(form));
+        }
     }
 
     fn malformed_response_error() -> Poll<io::Result<()>> {
-        Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, MalformedResponse)))
+        Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, "malformed HTTP response")))
     }
 }
 
@@ -447,8 +457,8 @@
                 self.response_started.notify_one();
             }
             reading.raw.extend_from_slice(received.filled());
-            if self.split_messages(&mut reading).is_err() {
-                self.malformed.set(true);
+            if let Err(error) = self.split_messages(&mut reading) {
+                self.on_malformed(error);
             } else if self.has_excess_bytes.get() && reading.decoded.is_empty() {
                 self.peer_closed.set(true); // makes awc drop the connection
                 return Poll::Ready(Ok(()));
--- a/crates/proxy/src/response_monitor/tests.rs
+++ b/crates/proxy/src/response_monitor/tests.rs
@@ -1,3 +1,5 @@
+mod random_responses;
+
 use super::*;
 
 /// A socket in which no byte, or one byte, has arrived.
--- a/crates/proxy/src/stages/attempt.rs
+++ b/crates/proxy/src/stages/attempt.rs
@@ -9,14 +9,15 @@
 use super::response_start::{ResponseStart, StartReader};
 use super::write_check::WriteCheck;
 use crate::backends::{Lease, LeaseError};
-use crate::bodies::{BodySender, MAX_BODY_BYTES, Pieces, RequestBody, body_channel};
+use crate::bodies::{BodySender, Pieces, RequestBody, body_channel};
 use crate::call::{Body, EndpointResponse, Payload, ResponseContent, Verdict};
 use crate::connect::ConnectFailure;
+use crate::framing::BodyFraming;
 use crate::memory::PIECE_BYTES;
 use crate::platform::backend;
 use crate::response_monitor::{ResponseMonitor, WriteCheckFn};
-use actix_http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
-use actix_http::{Method, StatusCode, Version};
+use actix_http::header::{CONNECTION, HeaderMap};
+use actix_http::{HttpMessage, Method, StatusCode};
 use awc::error::{ConnectError, PayloadError, SendRequestError};
 use awc::{ClientResponse, SendClientRequest};
 use futures_util::StreamExt;
@@ -65,6 +66,7 @@
     let began = Instant::now();
     let lease = context.backends.lease(endpoint);
     let monitor = lease.as_ref().ok().map(|lease| lease.monitor.clone());
+    let target = lease.as_ref().ok().map(|lease| lease.target);
     let write_check =
         lease.as_ref().ok().map(|lease| Rc::new(WriteCheck::new(&context, &attempt, lease.target)));
     if let Some(monitor) = &monitor {
@@ -121,7 +123,10 @@
     let remainder = result.remainder.take();
     record_outcome(&context, &attempt, endpoint, elapsed, result);
     let Some(remainder) = remainder else { return };
-    let outcome = forward_remainder(&context, *remainder, &attempt.payload.method).await;
+    let outcome = forward_remainder(&context, *remainder).await;
+    if let (Some(monitor), Some(target)) = (&monitor, target) {
+        context.report_rejected_form(target, monitor);
+    }
     // The attempt was already counted as a success, although the endpoint may have failed during the
     // response.
     if !matches!(outcome, Outcome::Ok | Outcome::Cancelled) {
@@ -218,7 +223,7 @@
     lease.monitor.expects_no_body.set(*method == Method::HEAD);
     let (monitor, reused) = (lease.monitor.clone(), lease.reused);
     let received = match send(context, &lease, &write_check, payload).await {
-        Ok(response) => receive(context, lease, method, response).await,
+        Ok(response) => receive(context, lease, response).await,
         Err(outcome) => Err(outcome),
     };
     let reconnected = monitor.reconnected.take();
@@ -227,6 +232,7 @@
         context.backends.on_pooled_connection_closed(target.endpoint);
     }
     context.backends.report_excess_bytes(target, &monitor);
+    context.report_rejected_form(target, &monitor);
     match received {
         Ok((head, body, remainder)) => {
             let outcome = backend::outcome(head.status, &head.headers);
@@ -356,10 +362,6 @@
     fn closes_connection(&self) -> bool {
         self.headers.get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"))
     }
-
-    fn content_length(&self) -> Option<u64> {
-        self.headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.trim().parse().ok())
-    }
 }
 
 /// Receives a whole response and returns its connection to the pool, or receives the start of a long
@@ -367,21 +369,20 @@
 async fn receive(
     context: &Context,
     lease: Lease,
-    method: &Method,
     mut response: ClientResponse,
 ) -> Result<(Head, ResponseContent, Option<Box<ResponseRemainder>>), Outcome> {
     let monitor = lease.monitor.clone();
+    let framing = monitor.framing();
+    // Whatever awc reads from the head, a response without a body ends with its head.
+    let has_unread_payload =
+        framing == BodyFraming::Empty && !matches!(response.take_payload(), actix_http::Payload::None);
     let received = async {
         let head = Head::of(&response);
         let is_final = backend::is_final(head.status);
-        let length = if is_final && *method != Method::HEAD { head.content_length() } else { None };
-        if length.is_some_and(|length| length > MAX_BODY_BYTES) {
-            return Err(Outcome::Error);
-        }
-        let reader = StartReader::new(&context.memory, length, is_final);
+        let reader = StartReader::new(&context.memory, framing.length(), is_final);
         let start = reader.read(&mut response).await.map_err(|e| outcome_of_body_error(&e, &monitor))?;
         if !start.has_more {
-            check_complete(&monitor, method, &response, start.received_bytes)?;
+            check_complete(&monitor, start.received_bytes)?;
         } else if !is_final {
             return Err(Outcome::Error); // an error response is not forwarded, so its long body is not needed
         }
@@ -392,7 +393,7 @@
         received = received => received?,
         () = monitor.wait_until_stalled() => return Err(Outcome::Error),
     };
-    let closes_connection = head.closes_connection();
+    let closes_connection = has_unread_payload || head.closes_connection();
     let ResponseStart { bytes, received_bytes, has_more, reservation } = start;
     if !has_more {
         if !closes_connection {
@@ -401,14 +402,14 @@
         let body = ResponseContent::Buffered(Pieces::new(bytes, reservation));
         return Ok((head, body, None));
     }
-    let (sender, download) = body_channel(head.content_length(), bytes.into(), reservation);
+    let (sender, download) = body_channel(framing.length(), bytes.into(), reservation);
     let remainder =
         Box::new(ResponseRemainder { sender, lease, response, closes_connection, received_bytes });
     Ok((head, ResponseContent::Streamed(download), Some(remainder)))
 }
 
 /// Forwards the remainder of a response as fast as the client reads it.
-async fn forward_remainder(context: &Context, remainder: ResponseRemainder, method: &Method) -> Outcome {
+async fn forward_remainder(context: &Context, remainder: ResponseRemainder) -> Outcome {
     let ResponseRemainder { sender, lease, mut response, closes_connection, mut received_bytes } = remainder;
     let monitor = lease.monitor.clone();
     let forwarding = async {
@@ -420,15 +421,12 @@
                 Ok(None) => break,
             };
             received_bytes += chunk.len() as u64;
-            if received_bytes > MAX_BODY_BYTES {
-                return Outcome::Error;
-            }
             match timeout(BODY_IDLE_TIMEOUT, sender.send(chunk)).await {
                 Ok(true) => {}
                 Ok(false) | Err(_) => return Outcome::Cancelled, // disconnected, or stopped reading
             }
         }
-        if let Err(outcome) = check_complete(&monitor, method, &response, received_bytes) {
+        if let Err(outcome) = check_complete(&monitor, received_bytes) {
             return outcome;
         }
         sender.finish().await;
@@ -470,24 +468,15 @@
 }
 
 /// Checks that a body that ended is complete. awc reports no error if the connection ends in the middle of a
-/// body, so the length is compared, and a chunked body must have had its last chunk. A body with neither is
-/// complete if the head announced that the connection ends with it, and the endpoint closed the connection.
-fn check_complete(
-    monitor: &ResponseMonitor,
-    method: &Method,
-    response: &ClientResponse,
-    received_bytes: u64,
-) -> Result<(), Outcome> {
-    match response.headers().get(CONTENT_LENGTH) {
-        _ if *method == Method::HEAD => Ok(()),
-        Some(length) if length.to_str().is_ok_and(|l| l.trim().parse() == Ok(received_bytes)) => Ok(()),
-        None if !response.headers().contains_key(TRANSFER_ENCODING) => {
-            let is_closed = response.version() == Version::HTTP_10 && monitor.peer_closed.get();
-            if is_closed { Ok(()) } else { Err(Outcome::Error) }
-        }
-        None if monitor.is_response_complete() => Ok(()),
-        _ => Err(Outcome::Reset),
-    }
+/// body. A body that ends with the connection is complete if the endpoint closed it.
+fn check_complete(monitor: &ResponseMonitor, received_bytes: u64) -> Result<(), Outcome> {
+    let framing = monitor.framing();
+    let has_end = match framing {
+        BodyFraming::UntilClose => monitor.peer_closed.get(),
+        BodyFraming::Empty | BodyFraming::Length(_) | BodyFraming::Chunked => monitor.is_response_complete(),
+    };
+    let has_length = framing.length().is_none_or(|length| length == received_bytes);
+    if has_end && has_length { Ok(()) } else { Err(Outcome::Reset) }
 }
 
 /// Checks the health of an endpoint and reports the result to the balancer. Reports nothing if the check
@@ -527,7 +516,7 @@
         response = wait_for_head(&monitor, send()).await?;
     }
     let response = response.map_err(|error| outcome_of_error(&error, &monitor))?;
-    match receive(context, lease, &Method::GET, response).await? {
+    match receive(context, lease, response).await? {
         (_, _, Some(_)) => Err(Outcome::Error), // too long for a health check's response
         (head, ..) => {
             let outcome = backend::outcome(head.status, &head.headers);
--- a/crates/proxy/src/stages/context.rs
+++ b/crates/proxy/src/stages/context.rs
@@ -2,8 +2,10 @@
 //! to the balancer.
 
 use super::request_table::RequestTable;
-use crate::backends::Backends;
+use crate::backends::{Backends, Target};
+use crate::framing::Side;
 use crate::memory::MemoryAccountant;
+use crate::response_monitor::ResponseMonitor;
 use crate::stats::Stats;
 use olivecart_decisions::Event;
 use std::cell::Cell;
@@ -108,6 +110,13 @@
         self.open_requests.set(self.open_requests.get() - 1);
     }
 
+    /// Counts and logs a response that was rejected for its form, if there was one.
+    pub fn report_rejected_form(&self, target: Target, monitor: &ResponseMonitor) {
+        let Some(form) = monitor.take_rejected_form() else { return };
+        self.backends.log_rejected_form(target, form);
+        self.stats.iter().for_each(|stats| stats.rejected_forms().count(Side::Endpoint, form));
+    }
+
     /// Reports an event to the balancer. Does nothing once the event sink was dropped at the end of the
     /// process.
     pub fn report(&self, event: Event) {
--- a/crates/proxy/src/stages/parse.rs
+++ b/crates/proxy/src/stages/parse.rs
@@ -6,6 +6,7 @@
 };
 use crate::call::{Body, Call};
 use crate::clients::Client;
+use crate::framing::OverheadLimit;
 use crate::memory::{
     BufferUse, IN_TRANSIT_BYTES, MemoryAccountant, Owner, PIECE_BYTES, PendingReservation, Priority,
     ReadAllowance, Reservation,
@@ -58,11 +59,12 @@
     let reader = BodyReader {
         context,
         client,
-        length: fields.length,
+        length: fields.framing.length(),
         client_timeout: time_left,
         weight,
         buffered: BufferedBody::default(),
         memory: BodyMemory::Unreserved,
+        overhead: OverheadLimit::default(),
     };
     let body = reader.read(request.take_payload()).await?;
     let deadline = Instant::now() + time_left;
@@ -93,6 +95,7 @@
     weight: f64,
     buffered: BufferedBody,
     memory: BodyMemory,
+    overhead: OverheadLimit,
 }
 
 impl BodyReader<'_> {
@@ -108,7 +111,7 @@
                     continue;
                 }
                 () = allowance.wait_until_exhausted(), if !self.is_waiting() => {
-                    self.allow_next_read(&allowance);
+                    self.allow_next_read(&allowance)?;
                     continue;
                 }
             };
@@ -125,7 +128,10 @@
     }
 
     /// Lets the connection read the next piece if there is memory for it, and otherwise starts to wait for some.
-    fn allow_next_read(&mut self, allowance: &ReadAllowance) {
+    ///
+    /// # Errors
+    /// More was read than a body of this length can need.
+    fn allow_next_read(&mut self, allowance: &ReadAllowance) -> Result<(), Reject> {
         match &self.memory {
             BodyMemory::Unreserved => {
                 let priority = Priority {
@@ -141,13 +147,15 @@
             BodyMemory::Reserved(_) => {
                 self.client.on_buffers_used(BufferUse::Reserved);
                 self.buffered.expect_bytes(self.expected_bytes());
-                allowance.renew(
-                    self.length.map_or(PIECE_BYTES, |length| {
-                        PIECE_BYTES.min(self.remaining(length) as usize).max(1)
-                    }),
-                );
+                let piece = self
+                    .length
+                    .map_or(PIECE_BYTES, |length| PIECE_BYTES.min(self.remaining(length) as usize).max(1));
+                if allowance.renew(piece) {
+                    self.overhead.on_read(piece, self.buffered.len() as u64)?;
+                }
             }
         }
+        Ok(())
     }
 
     fn remaining(&self, length: u64) -> u64 {
--- a/crates/proxy/src/stats.rs
+++ b/crates/proxy/src/stats.rs
@@ -1,6 +1,7 @@
 //! The counters and gauges that the admin server reports. Only the event loop writes them, each at one place.
 //! Any thread can read them without the event loop.
 
+use crate::framing::RejectedForms;
 use crate::memory::{MemoryAccountant, MemoryGauges};
 use std::fmt;
 use std::sync::Arc;
@@ -28,6 +29,7 @@
     pool_ejected: AtomicU64,
     ready: AtomicBool,
     memory: MemoryGauges,
+    rejected_forms: RejectedForms,
 }
 
 struct Class {
@@ -85,6 +87,11 @@
         &self.memory
     }
 
+    /// The messages that were rejected for their form.
+    pub fn rejected_forms(&self) -> &RejectedForms {
+        &self.rejected_forms
+    }
+
     /// Updates the gauges of memory.
     pub fn publish_memory(&self, memory: &MemoryAccountant) {
         self.memory.publish(memory);
@@ -131,7 +138,8 @@
         writeln!(f, "edge.tries={}", self.attempts.load(Relaxed))?;
         writeln!(f, "edge.active={}", self.active.load(Relaxed).max(0))?;
         writeln!(f, "edge.pool_size={}", self.pool_size.load(Relaxed))?;
-        writeln!(f, "edge.pool_ejected={}", self.pool_ejected.load(Relaxed))
+        writeln!(f, "edge.pool_ejected={}", self.pool_ejected.load(Relaxed))?;
+        self.rejected_forms.fmt(f)
     }
 }
 
