Let a request's time run from its last byte at this machine, read or not

Cause: the time of a streamed request began when the proxy read its last byte. While the backend takes no more, the proxy reads no more; the byte lies in the system's buffer, and only BODY_IDLE_TIMEOUT ended the request. A backend that takes a little at a time put that off too. Requests that wait for memory had their time from when they were read.

Change: a connection notes what has arrived, read or not (bytes read and FIONREAD, at each wake while a request is received slowly: arrivals.rs). RequestClock decides from that; attempts, the final verdict and the deadline at dispatch use it. With a length it is exact; unread chunks count from the last arrival, and not while all that arrived was passed on. What was not read whole is refused with 503: no backend has run it.

Designs weighed: a clock from when reading stops (refuses honest uploads whose backend pauses), small receive buffers (256 KiB a round trip for every upload), reading on into memory (32 MB a request), kernel time stamps (no safe interface at hand). Price of the one taken: one ioctl for each such wake, 56 bytes a connection.

Not covered: connections that wait to be accepted.

--- a/crates/proxy/src/bodies/mod.rs
+++ b/crates/proxy/src/bodies/mod.rs
@@ -7,11 +7,13 @@
 mod buffered_body;
 mod pieces;
 mod request_body;
+mod request_clock;
 mod response_body;
 
 pub use buffered_body::BufferedBody;
 pub use pieces::Pieces;
 pub use request_body::RequestBody;
+pub use request_clock::RequestClock;
 pub use response_body::{BodySender, IncompleteResponse, ResponseBody, body_channel};
 
 use crate::memory::{IN_TRANSIT_BYTES, PIECE_BYTES};
--- a/crates/proxy/src/bodies/request_body.rs
+++ b/crates/proxy/src/bodies/request_body.rs
@@ -1,6 +1,6 @@
 //! A request body that is streamed to an endpoint. Its start is buffered, so that a retry can send it again.
 
-use super::{MAX_BODY_BYTES, Pieces, USED_BUFFERS_BYTES};
+use super::{MAX_BODY_BYTES, Pieces, RequestClock, USED_BUFFERS_BYTES};
 use crate::framing::{FramingError, OverheadLimit};
 use crate::memory::{IN_TRANSIT_BYTES, PIECE_BYTES, ReadAllowance, Reservation};
 use actix_http::body::{BodySize, MessageBody};
@@ -49,8 +49,7 @@
     changed: Notify,
     /// When a chunk was last received or sent.
     last_progress: Cell<Instant>,
-    /// How long the client waits for a response once the body is complete.
-    client_timeout: Duration,
+    clock: RequestClock,
     /// How much the client's connection may read.
     allowance: Rc<ReadAllowance>,
     overhead: Cell<OverheadLimit>,
@@ -73,7 +72,7 @@
         length: Option<u64>,
         mut start: Pieces,
         source: impl Stream<Item = Result<Bytes, PayloadError>> + 'static,
-        client_timeout: Duration,
+        clock: RequestClock,
         allowance: Rc<ReadAllowance>,
         reservation: Reservation,
     ) -> RequestBody {
@@ -89,7 +88,7 @@
             ended_at: Cell::new(None),
             changed: Notify::new(),
             last_progress: Cell::new(Instant::now()),
-            client_timeout,
+            clock,
             allowance,
             overhead: Cell::default(),
             reservation: RefCell::new(reservation),
@@ -114,17 +113,19 @@
         }
     }
 
-    /// Waits for the last byte, and returns when the client stops waiting for a response.
-    pub async fn wait_for_end(&self) -> Instant {
-        loop {
-            if let Some(at) = self.ended_at.get() {
-                return at + self.client_timeout;
-            }
+    /// Resolves when the last byte was received.
+    pub async fn wait_for_end(&self) {
+        while !self.is_complete() {
             self.changed.notified().await;
         }
     }
 
-    /// When the last byte was received.
+    /// When the time of the request is over.
+    pub fn clock(&self) -> &RequestClock {
+        &self.clock
+    }
+
+    /// When the last byte was received, which may be long after it arrived at this machine.
     pub fn ended_at(&self) -> Option<Instant> {
         self.ended_at.get()
     }
@@ -170,6 +171,7 @@
         number: u32,
     ) -> Poll<Option<Result<Bytes, RequestBodyError>>> {
         let polled = self.source.borrow_mut().poll_next_unpin(cx);
+        self.clock.set_awaits_client(polled.is_pending());
         if polled.is_pending()
             && let Err(error) = self.allow_next_read()
         {
@@ -193,6 +195,7 @@
             }
             Some(Err(e)) => Some(Err(e.into())),
             None => {
+                self.clock.complete();
                 self.ended_at.set(Some(self.ended_at.get().unwrap_or_else(Instant::now)));
                 self.reservation.borrow_mut().shrink_to(USED_BUFFERS_BYTES);
                 self.changed.notify_waiters();
--- a/crates/proxy/src/bodies/request_body/tests.rs
+++ b/crates/proxy/src/bodies/request_body/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::arrivals::Arrivals;
 use crate::bodies::STREAMED_BODY_MEMORY;
 use crate::memory::{MemoryAccountant, Owner};
 use futures_util::{FutureExt, stream};
@@ -16,7 +17,7 @@
         None,
         Bytes::from(start).into(),
         rest,
-        Duration::from_secs(1),
+        RequestClock::new(Rc::new(Arrivals::new(Instant::now())), None, Duration::from_secs(1)),
         allowance.clone(),
         reservation.expect("within the limit"),
     ))
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -14,6 +14,7 @@
 pub mod stream;
 
 use self::head_memory::HeadMemory;
+use crate::arrivals::Arrivals;
 use crate::closing::{Closing, Event, Step};
 use crate::memory::{
     BufferUse, ConnectionCharge, ConnectionKind, MemoryAccountant, ReadAllowance, SHORT_MESSAGE_BYTES,
@@ -139,6 +140,8 @@
     task: RefCell<Option<Waker>>,
     /// How much may be read before there is memory for more.
     allowance: Rc<ReadAllowance>,
+    /// When bytes arrived at this machine.
+    arrivals: Rc<Arrivals>,
     /// The memory of a long request head.
     head_memory: HeadMemory,
     charge: ConnectionCharge,
@@ -181,6 +184,7 @@
             close_state: Cell::new(None),
             task: RefCell::default(),
             allowance: Rc::new(ReadAllowance::new(SHORT_MESSAGE_BYTES)),
+            arrivals: Rc::new(Arrivals::new(Instant::now())),
             head_memory: HeadMemory::default(),
             buffer_use: Cell::new(BufferUse::Short),
             charge: self.memory.charge_connection(ConnectionKind::Client),
@@ -353,6 +357,7 @@
         self.head_memory.release();
         self.charge.charge_buffers(self.buffer_use.get());
         self.allowance.set(self.unreserved_bytes());
+        self.arrivals.on_request_ended();
         match (self.state.get(), self.close_intent.get()) {
             (State::Closed, _) => {}
             (_, CloseIntent::Now) => self.begin_close(CloseIntent::Now),
@@ -399,6 +404,20 @@
         &self.allowance
     }
 
+    /// When bytes arrived at this machine.
+    pub fn arrivals(&self) -> &Rc<Arrivals> {
+        &self.arrivals
+    }
+
+    /// Whether a request is received whose last byte may arrive before it is read.
+    fn receives_slowly(&self) -> bool {
+        match self.state.get() {
+            State::Partial(..) | State::Uploading(_) => true,
+            State::InFlight => !self.request_is_complete.get(),
+            State::Silent(_) | State::Idle(_) | State::Closing(_) | State::Closed => false,
+        }
+    }
+
     /// Returns how many bytes may be read now. For a long request head, waits for memory; a body's consumer does
     /// that itself.
     fn poll_allowance(&self, cx: &mut Context<'_>) -> Poll<usize> {
--- a/crates/proxy/src/clients/stream.rs
+++ b/crates/proxy/src/clients/stream.rs
@@ -112,6 +112,7 @@
         let mut serving = pin!(serving);
         poll_fn(|cx| {
             self.register_task(cx);
+            self.note_arrivals();
             self.library_awaits_socket.set(false);
             let polled = serving.as_mut().poll(cx);
             self.library_received_bytes.set(false);
@@ -176,6 +177,16 @@
         }
     }
 
+    /// Notes what has arrived of a request that is not read as fast as it arrives, or of one behind the request in
+    /// flight. While nothing is read, the runtime wakes the task whenever more arrives.
+    fn note_arrivals(&self) {
+        let read_ahead = self.read_ahead.borrow().len() as u64;
+        if self.client.receives_slowly() || read_ahead > 0 {
+            let in_system = rustix::io::ioctl_fionread(self.stream.borrow().tcp()).unwrap_or(0);
+            self.client.arrivals().on_unread(in_system + read_ahead, Instant::now());
+        }
+    }
+
     /// Whether reads of the library are deferred. The library parses everything that it reads into requests,
     /// without a limit on their number, and after bytes that are not a request it never reads again.
     fn defers_reads(&self) -> bool {
@@ -212,7 +223,9 @@
         match &read {
             Poll::Ready(Ok(())) if buf.filled().len() > before => {
                 self.library_received_bytes.set(true);
-                client.allowance().consume(buf.filled().len() - before);
+                let received = buf.filled().len() - before;
+                client.allowance().consume(received);
+                client.arrivals().on_read(received as u64, Instant::now());
                 client.on_bytes_received();
             }
             Poll::Ready(_) => client.on_peer_closed(),
@@ -320,6 +333,7 @@
                 }
                 Poll::Ready(Ok(())) if self.has_read_ahead_memory() => {
                     self.read_ahead.borrow_mut().extend_from_slice(received);
+                    self.note_arrivals();
                 }
                 // No response to these bytes is owed yet, so that they can be discarded.
                 Poll::Ready(Ok(())) => client.close_after_response(),
--- a/crates/proxy/src/clients/stream/tests.rs
+++ b/crates/proxy/src/clients/stream/tests.rs
@@ -117,6 +117,38 @@
     }
 }
 
+/// Guards against review case 10: bytes that arrive while nothing is read have a time only once they are read.
+#[test]
+fn arrival_of_bytes_that_nobody_reads_is_noticed_when_they_arrive() {
+    for body in [RequestBody::Complete, RequestBody::Streaming] {
+        for bytes in [1, MAX_READ_AHEAD_BYTES / 2, 3 * MAX_READ_AHEAD_BYTES] {
+            if body == RequestBody::Complete && bytes > MAX_READ_AHEAD_BYTES {
+                continue; // bytes behind the last request of a connection are discarded
+            }
+            run_test(async {
+                let (mut peer, connection, _) = connected().await;
+                let arrivals = connection.client().arrivals().clone();
+                connection.client().on_request_dispatched(body);
+                serve_without_reading(&connection);
+                yield_now().await;
+                let before = Instant::now();
+                assert!(arrivals.last_at() < before && !arrivals.has_unread());
+                peer.write_all(&vec![b'x'; bytes]).expect("written");
+                while arrivals.of_request() < bytes as u64 {
+                    yield_now().await;
+                }
+                let noticed_at = arrivals.last_at();
+                assert!(noticed_at >= before && arrivals.has_unread());
+                // Reading them changes nothing.
+                connection.client().on_response_sent();
+                connection.client().allowance().set(usize::MAX);
+                assert!(!read_once(connection.clone()).await.is_empty());
+                assert_eq!(arrivals.last_at(), noticed_at);
+            });
+        }
+    }
+}
+
 #[test]
 fn client_that_floods_behind_a_request_in_flight_is_treated_as_closed() {
     run_test(async {
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -5,6 +5,7 @@
 
 mod accept;
 mod admin_overrides;
+mod arrivals;
 mod backends;
 mod bodies;
 mod call;
--- a/crates/proxy/src/shutdown_deadline.rs
+++ b/crates/proxy/src/shutdown_deadline.rs
@@ -27,6 +27,11 @@
         self.at.get().is_some()
     }
 
+    /// When requests are answered by, if a shutdown has begun.
+    pub fn at(&self) -> Option<Instant> {
+        self.at.get()
+    }
+
     /// Returns the earlier one of `deadline` and the end of a shutdown that has begun.
     pub fn limit(&self, deadline: Instant) -> Instant {
         self.at.get().map_or(deadline, |at| deadline.min(at))
--- a/crates/proxy/src/stages/attempt.rs
+++ b/crates/proxy/src/stages/attempt.rs
@@ -156,16 +156,12 @@
     }
 }
 
-/// Resolves when an attempt times out. The time of a streamed body runs from its last byte; before that, the
-/// attempt times out only if the body makes no progress.
+/// Resolves when an attempt times out. The time of a streamed body runs from its last byte at this machine; before
+/// that, the attempt times out only if the body makes no progress.
 async fn wait_until_expired(upload: Option<&RequestBody>, deadline: Instant) {
     let Some(upload) = upload else { return sleep_until(deadline.into()).await };
-    let after_last_byte = async {
-        let deadline = upload.wait_for_end().await;
-        sleep_until(deadline.checked_sub(DEADLINE_MARGIN).unwrap_or(deadline).into()).await;
-    };
     tokio::select! {
-        () = after_last_byte => {}
+        () = upload.clock().wait_until_over(DEADLINE_MARGIN) => {}
         () = upload.wait_until_stalled(BODY_IDLE_TIMEOUT) => {}
     }
 }
--- a/crates/proxy/src/stages/parse.rs
+++ b/crates/proxy/src/stages/parse.rs
@@ -2,7 +2,7 @@
 //! a long one).
 
 use crate::bodies::{
-    BufferedBody, MAX_BUFFERED_BYTES, RequestBody, STREAMED_BODY_MEMORY, USED_BUFFERS_BYTES,
+    BufferedBody, MAX_BUFFERED_BYTES, RequestBody, RequestClock, STREAMED_BODY_MEMORY, USED_BUFFERS_BYTES,
 };
 use crate::call::{Body, Call};
 use crate::clients::Client;
@@ -41,7 +41,7 @@
     pub shutdown: &'a ShutdownDeadline,
 }
 
-/// Parses a request. The time that the client waits for a response runs from the request's last byte.
+/// Parses a request. The time that the client waits for a response runs from the request's last byte at this machine.
 pub async fn parse(
     context: &ParseContext<'_>,
     mut request: Request,
@@ -67,7 +67,7 @@
         overhead: OverheadLimit::default(),
     };
     let body = reader.read(request.take_payload()).await?;
-    let deadline = Instant::now() + time_left;
+    let deadline = deadline_of(&body, client, time_left);
     let tenant = fields.tenant.and_then(|t| context.site.borrow().tenants.get(&t));
     let tenant = tenant.map(|t| TenantId(t as u16));
     let payload = Rc::new(client::payload(request.head(), body));
@@ -75,6 +75,15 @@
     Ok(Call { id: fields.id, class, tenant, retry: fields.retry, deadline, authority, payload })
 }
 
+/// Returns when the client stops waiting. The time runs from the last byte at this machine, which may have waited
+/// there for memory. A streamed body whose last byte has not arrived ends now, as far as is known.
+fn deadline_of(body: &Body, client: &Client, time_left: Duration) -> Instant {
+    match body {
+        Body::Buffered { .. } => client.arrivals().last_at() + time_left,
+        Body::Streamed(upload) => upload.clock().deadline().unwrap_or_else(|| Instant::now() + time_left),
+    }
+}
+
 /// The memory of a body while it is read.
 enum BodyMemory {
     /// What the connection may hold without a reservation has sufficed so far.
@@ -140,7 +149,9 @@
                 };
                 let reserving =
                     self.context.memory.reserve(Owner::RequestBodies, self.required_memory(), priority);
-                let timeout = Box::pin(sleep(MEMORY_TIMEOUT.min(self.client_timeout)));
+                // The last byte may have arrived already, and its client waits from then on.
+                let left = self.client_timeout.saturating_sub(self.client.arrivals().last_at().elapsed());
+                let timeout = Box::pin(sleep(MEMORY_TIMEOUT.min(left)));
                 self.memory = BodyMemory::Waiting(reserving, timeout);
             }
             BodyMemory::Waiting(..) => {}
@@ -227,8 +238,8 @@
     ) -> Body {
         let start = self.buffered.bytes();
         reservation.shrink_to(start.len() + IN_TRANSIT_BYTES);
-        let body =
-            RequestBody::new(self.length, start.into(), payload, self.client_timeout, allowance, reservation);
+        let clock = RequestClock::new(self.client.arrivals().clone(), self.length, self.client_timeout);
+        let body = RequestBody::new(self.length, start.into(), payload, clock, allowance, reservation);
         Body::Streamed(Rc::new(body))
     }
 }
--- a/crates/proxy/src/stages/response.rs
+++ b/crates/proxy/src/stages/response.rs
@@ -34,18 +34,34 @@
     upload: Option<Rc<RequestBody>>,
     shutdown: &ShutdownDeadline,
 ) -> Verdict {
-    let Some(upload) = upload else { return time_out_at(deadline).await };
+    let Some(upload) = upload else {
+        sleep_until_before(deadline).await;
+        return Verdict::Overdue;
+    };
     // The time of a streamed request runs from its last byte. A shutdown may begin before that, and end before
     // the client's time does.
     tokio::select! {
         biased;
-        deadline = upload.wait_for_end() => time_out_at(shutdown.limit(deadline)).await,
-        // No endpoint executes a request without its last byte.
-        () = shutdown.reached() => Verdict::Refused { retry_after: Duration::ZERO },
+        () = upload.clock().wait_until_over(RESPONSE_MARGIN) => {}
+        () = end_of_shutdown(&upload, shutdown) => {}
     }
+    // No endpoint executes a request without its last byte.
+    if upload.is_complete() { Verdict::Overdue } else { Verdict::Refused { retry_after: Duration::ZERO } }
 }
 
-async fn time_out_at(deadline: Instant) -> Verdict {
+/// Resolves when a shutdown ends that began before the request's last byte was read. A request that was whole before
+/// keeps its own time.
+async fn end_of_shutdown(upload: &RequestBody, shutdown: &ShutdownDeadline) {
+    tokio::select! {
+        biased;
+        () = upload.wait_for_end() => match shutdown.at() {
+            Some(deadline) => sleep_until_before(deadline).await,
+            None => std::future::pending().await,
+        },
+        () = shutdown.reached() => {}
+    }
+}
+
+async fn sleep_until_before(deadline: Instant) {
     sleep_until(deadline.checked_sub(RESPONSE_MARGIN).unwrap_or(deadline).into()).await;
-    Verdict::Overdue
 }
--- a/crates/proxy/tests/scenario/mod.rs
+++ b/crates/proxy/tests/scenario/mod.rs
@@ -129,7 +129,8 @@
     addr
 }
 
-fn serve_at(listener: TcpListener, connection: impl Fn(TcpStream) + Send + Sync + 'static) {
+/// Serves each connection of a listener on a separate thread until the process ends.
+pub fn serve_at(listener: TcpListener, connection: impl Fn(TcpStream) + Send + Sync + 'static) {
     let connection = Arc::new(connection);
     std::thread::spawn(move || {
         for stream in listener.incoming().map_while(Result::ok) {
