End responses of unknown length to HTTP/1.0 clients with the connection

What callers saw: a long response of unknown length was sent to an HTTP/1.0 client in chunks, which HTTP/1.0 doesn't have, so that their sizes were read as the body; one that broke off ended like a whole one.

Cause: the HTTP library frames a body of unknown length in chunks whatever the request's version is.

Change: such a response is sent without chunks and ends its connection; one that breaks off ends it with a reset, since nothing else tells the client.

--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -136,6 +136,8 @@
     close_intent: Cell<CloseIntent>,
     /// The state of the close, once it has begun.
     close_state: Cell<Option<Closing>>,
+    /// Whether only the end of the connection tells the client where its response ends.
+    response_ends_with_connection: Cell<bool>,
     /// Wakes the task that serves the connection.
     task: RefCell<Option<Waker>>,
     /// How much may be read before there is memory for more.
@@ -182,6 +184,7 @@
             peer_closed_notify: Notify::new(),
             close_intent: Cell::new(CloseIntent::KeepOpen),
             close_state: Cell::new(None),
+            response_ends_with_connection: Cell::new(false),
             task: RefCell::default(),
             allowance: Rc::new(ReadAllowance::new(SHORT_MESSAGE_BYTES)),
             arrivals: Rc::new(Arrivals::new(Instant::now())),
@@ -371,6 +374,16 @@
         self.close_intent.set(CloseIntent::Now);
     }
 
+    /// Records that only the end of the connection tells the client where its response ends.
+    pub fn end_response_with_connection(&self) {
+        self.response_ends_with_connection.set(true);
+    }
+
+    /// Whether the client can tell a response that broke off from a complete one only by a reset.
+    pub fn needs_reset_after_incomplete_response(&self) -> bool {
+        self.response_ends_with_connection.get()
+    }
+
     /// Records that the request was rejected. The connection is closed after the response.
     pub fn on_request_rejected(self: &Rc<Self>) {
         self.begin_close(CloseIntent::Now);
--- a/crates/proxy/src/clients/stream.rs
+++ b/crates/proxy/src/clients/stream.rs
@@ -32,7 +32,7 @@
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::timeout_at;
@@ -128,6 +128,11 @@
         .await
     }
 
+    /// Lets the client see a reset and no end of the stream once the connection is dropped.
+    pub fn reset(&self) {
+        let _ = SockRef::from(self.stream.borrow().tcp()).set_linger(Some(Duration::ZERO)); // fails if it has ended
+    }
+
     /// Closes the connection gracefully: whatever ended it, the client can read everything that was written.
     /// After this, the connection only has to be dropped.
     pub async fn close(&self) {
--- a/crates/proxy/src/clients/stream/tests.rs
+++ b/crates/proxy/src/clients/stream/tests.rs
@@ -3,7 +3,6 @@
 use crate::interrupted::tests::{InterruptedSocket, Interruptions};
 use std::io::Write;
 use std::net::Shutdown;
-use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::task::{spawn_local, yield_now};
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -21,8 +21,9 @@
 use crate::stages::parse::{self, ParseContext};
 use crate::stages::response;
 use crate::stats::{ActiveRequest, RequestResult, Stats};
+use actix_http::body::{BodySize, MessageBody};
 use actix_http::error::DispatchError;
-use actix_http::{ConnectionType, Extensions, HttpService, KeepAlive, Request, Response};
+use actix_http::{ConnectionType, Extensions, HttpService, KeepAlive, Request, Response, Version};
 use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
 use olivecart_settings::Site;
 use slog::{Logger, debug, warn};
@@ -279,6 +280,9 @@
         if matches!(e, DispatchError::Parse(_)) {
             control.on_malformed_request(FramingError::InvalidHead);
         }
+        if matches!(e, DispatchError::Body(_)) && client.needs_reset_after_incomplete_response() {
+            return abort(&control, connection);
+        }
         debug!(control.log, "connection ended"; "peer" => %peer, "error" => %e);
     }
     connection.close().await;
@@ -286,6 +290,14 @@
     control.clients.unregister(&client);
 }
 
+/// Ends a connection with a reset.
+fn abort(control: &AcceptControl, connection: Rc<Connection>) {
+    let client = connection.client().clone();
+    connection.reset();
+    drop(connection); // frees the descriptor before it is counted as free
+    control.clients.unregister(&client);
+}
+
 async fn enforce_timeouts(clients: Rc<Clients>) {
     let mut interval = tokio::time::interval(TIMEOUT_CHECK_INTERVAL);
     loop {
@@ -306,6 +318,7 @@
         // response for that of another request.
         return Ok(client::buffered(client::overloaded()));
     }
+    let is_http_1_0 = request.version() == Version::HTTP_10;
     let response = match request.path() {
         client::READY => Ok(client::buffered(client::health(control.is_ready()))),
         client::LIVE => Ok(client::buffered(client::health(true))),
@@ -314,6 +327,11 @@
     match response {
         Ok(mut response) => {
             client.on_buffers_used(buffer_use(response.body()));
+            if is_http_1_0 && response.body().size() == BodySize::Stream {
+                client.end_response_with_connection();
+                response.head_mut().no_chunking(true); // HTTP/1.0 has no chunks
+                response.head_mut().set_connection_type(ConnectionType::Close);
+            }
             let is_last = control.closing.get() || !*control.accepting.borrow() || client.is_closing();
             if is_last || client.gives_back_buffers() {
                 response.head_mut().set_connection_type(ConnectionType::Close);
--- a/crates/proxy/src/response_monitor.rs
+++ b/crates/proxy/src/response_monitor.rs
@@ -4,7 +4,7 @@
 //! The body of the final response is passed on to awc unchanged. Interim (1xx) responses are removed. A
 //! response that is malformed or too long fails the read. Bytes after the end of a response are dropped, so
 //! that they are never read as the start of the next one, and the connection is not used again. Where a body ends is
-//! decided by [`framing`](crate::framing) from the head; a head that awc could read in another way is replaced.
+//! decided by [`framing`] from the head; a head that awc could read in another way is replaced.
 //!
 //! Some endpoints send a response twice. If the second copy arrives when the next request was already written, only
 //! its bytes show that it is not the response to that request. On a connection that was used again so soon
--- a/crates/proxy/tests/framing.rs
+++ b/crates/proxy/tests/framing.rs
@@ -5,7 +5,7 @@
 mod site;
 use scenario::{STEP_TIMEOUT, serve};
 use site::{Process, Site, generous_settings};
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -213,6 +213,31 @@
     }
 }
 
+/// Guards against a response that breaks off, and that looks complete to a client for which the end of the connection
+/// is the end of the response.
+#[test]
+fn response_that_breaks_off_towards_an_http_1_0_client_ends_with_a_reset() {
+    let (chunked, without_end) = (1, RESPONSES.len() - 1);
+    let site = Site::with(&generous_settings(), MEMORY_MB, &[("a", backend())]);
+    let _process = site.start_ready();
+    for (number, is_complete) in [(chunked, true), (without_end, false)] {
+        let mut client = connect(site.listen);
+        let request =
+            format!("GET /{number}/100000 HTTP/1.0\r\nX-Request-Id: r{number}\r\nX-Class: view\r\n\r\n");
+        client.get_mut().write_all(request.as_bytes()).expect("written");
+        let head = read_head(&mut client).expect("a head");
+        assert!(head.contains(" 200 ") && !head.to_lowercase().contains("content-length"), "{head}");
+        let mut received = Vec::new();
+        let end = client.read_to_end(&mut received).map_err(|error| error.kind());
+        if is_complete {
+            assert_eq!(end, Ok(100_000), "{head}");
+            assert!(received == body(100_000));
+        } else {
+            assert_eq!(end, Err(ErrorKind::ConnectionReset));
+        }
+    }
+}
+
 /// Guards against a request that the proxy and a backend read in two ways.
 #[test]
 fn request_of_a_rejected_form_gets_400_and_no_backend_sees_it() {
