Scan requests for their ends before the HTTP library gets them

Cause: the framing of a request was decided in one place, but its body was read by the HTTP library alone. That takes trailers with control characters and lines of any length, and reads on into the next request.

Change: framing/request_scanner.rs finds the ends of heads and bodies, and the library gets only what was accepted: nothing behind a head whose framing is not decided, nothing that doesn't fit it, nothing of the next request. A head on whose end or framing the two disagree is rejected. A rejected body gets 400 and its name, also where a part of it was passed on. The limit on overhead moved into the scanner of chunks, so that it holds for responses too; it is 32 bytes for each of the body (was 8), as chunks of one byte with extensions are valid and tests/bodies.rs has such.

Tests: request_body_that_does_not_fit_its_chunks_gets_400_and_no_backend_has_it_whole fails on the code before (no name); random requests on 20,000 connections end where the library finds their ends. Endless trailers are now invalid_trailers, as in responses: request_with_trailers_without_end_is_rejected names that form, and is as strict. The unit test of OverheadLimit is replaced by one through the scanner.

--- a/crates/proxy/src/bodies/mod.rs
+++ b/crates/proxy/src/bodies/mod.rs
@@ -12,7 +12,7 @@
 
 pub use buffered_body::BufferedBody;
 pub use pieces::Pieces;
-pub use request_body::RequestBody;
+pub use request_body::{RequestBody, RequestBodyError};
 pub use request_clock::RequestClock;
 pub use response_body::{BodySender, IncompleteResponse, ResponseBody, body_channel};
 
--- a/crates/proxy/src/bodies/request_body.rs
+++ b/crates/proxy/src/bodies/request_body.rs
@@ -1,7 +1,7 @@
 //! A request body that is streamed to an endpoint. Its start is buffered, so that a retry can send it again.
 
 use super::{MAX_BODY_BYTES, Pieces, RequestClock, USED_BUFFERS_BYTES};
-use crate::framing::{FramingError, OverheadLimit};
+use crate::framing::FramingError;
 use crate::memory::{IN_TRANSIT_BYTES, PIECE_BYTES, ReadAllowance, Reservation};
 use actix_http::body::{BodySize, MessageBody};
 use actix_http::error::PayloadError;
@@ -24,7 +24,7 @@
     /// The body is longer than the limit.
     #[error("request body is longer than {MAX_BODY_BYTES} bytes")]
     TooLong,
-    /// The body has more bytes beside its own than it can need.
+    /// The body's bytes don't fit its framing.
     #[error("{0}")]
     Framing(#[from] FramingError),
     /// A part of the body is no longer buffered, since another attempt has received it.
@@ -32,7 +32,7 @@
     Released,
 }
 
-type Source = Pin<Box<dyn Stream<Item = Result<Bytes, PayloadError>>>>;
+type Source = Pin<Box<dyn Stream<Item = Result<Bytes, RequestBodyError>>>>;
 
 /// A body whose start is buffered. It can be sent again until an attempt reads beyond the buffered start.
 pub struct RequestBody {
@@ -52,7 +52,6 @@
     clock: RequestClock,
     /// How much the client's connection may read.
     allowance: Rc<ReadAllowance>,
-    overhead: Cell<OverheadLimit>,
     reservation: RefCell<Reservation>,
 }
 
@@ -71,7 +70,7 @@
     pub fn new(
         length: Option<u64>,
         mut start: Pieces,
-        source: impl Stream<Item = Result<Bytes, PayloadError>> + 'static,
+        source: impl Stream<Item = Result<Bytes, RequestBodyError>> + 'static,
         clock: RequestClock,
         allowance: Rc<ReadAllowance>,
         reservation: Reservation,
@@ -90,7 +89,6 @@
             last_progress: Cell::new(Instant::now()),
             clock,
             allowance,
-            overhead: Cell::default(),
             reservation: RefCell::new(reservation),
         }
     }
@@ -150,19 +148,12 @@
     }
 
     /// Lets the connection read the next piece, as all that it has read was passed on.
-    ///
-    /// # Errors
-    /// More was read than a body of this length can need.
-    fn allow_next_read(&self) -> Result<(), FramingError> {
-        let received_bytes = self.received_bytes.get();
-        let left = self.length.map(|length| length.saturating_sub(received_bytes));
+    fn allow_next_read(&self) {
+        let left = self.length.map(|length| length.saturating_sub(self.received_bytes.get()));
         let piece = left.map_or(PIECE_BYTES, |left| PIECE_BYTES.min(left as usize));
-        if piece > 0 && self.allowance.renew(piece) {
-            let mut overhead = self.overhead.get();
-            overhead.on_read(piece, received_bytes)?;
-            self.overhead.set(overhead);
+        if piece > 0 {
+            self.allowance.renew(piece);
         }
-        Ok(())
     }
 
     fn poll_source(
@@ -172,10 +163,8 @@
     ) -> Poll<Option<Result<Bytes, RequestBodyError>>> {
         let polled = self.source.borrow_mut().poll_next_unpin(cx);
         self.clock.set_awaits_client(polled.is_pending());
-        if polled.is_pending()
-            && let Err(error) = self.allow_next_read()
-        {
-            return Poll::Ready(Some(Err(error.into())));
+        if polled.is_pending() {
+            self.allow_next_read();
         }
         let chunk = ready!(polled);
         self.last_progress.set(Instant::now());
@@ -193,7 +182,7 @@
                     Ok(chunk)
                 })
             }
-            Some(Err(e)) => Some(Err(e.into())),
+            Some(Err(e)) => Some(Err(e)),
             None => {
                 self.clock.complete();
                 self.ended_at.set(Some(self.ended_at.get().unwrap_or_else(Instant::now)));
--- a/crates/proxy/src/bodies/request_body/tests.rs
+++ b/crates/proxy/src/bodies/request_body/tests.rs
@@ -9,7 +9,7 @@
 fn upload(
     memory: &Rc<MemoryAccountant>,
     allowance: &Rc<ReadAllowance>,
-    rest: impl Stream<Item = Result<Bytes, PayloadError>> + 'static,
+    rest: impl Stream<Item = Result<Bytes, RequestBodyError>> + 'static,
 ) -> Rc<RequestBody> {
     let reservation = memory.try_reserve(Owner::RequestBodies, STREAMED_BODY_MEMORY);
     let start = [vec![b'a'; PIECE_BYTES], vec![b'b']].concat();
@@ -25,7 +25,7 @@
 
 fn chunks(
     chunks: &'static [&'static str],
-) -> impl Stream<Item = Result<Bytes, PayloadError>> + Unpin + 'static {
+) -> impl Stream<Item = Result<Bytes, RequestBodyError>> + Unpin + 'static {
     stream::iter(chunks.iter().map(|chunk| Ok(Bytes::from_static(chunk.as_bytes()))))
 }
 
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -11,10 +11,11 @@
 //! so that no operation scans all connections.
 
 mod head_memory;
+mod incoming;
 pub mod stream;
 
 use self::head_memory::HeadMemory;
-use crate::arrivals::Arrivals;
+pub use self::incoming::Incoming;
 use crate::closing::{Closing, Event, Step};
 use crate::memory::{
     BufferUse, ConnectionCharge, ConnectionKind, MemoryAccountant, ReadAllowance, SHORT_MESSAGE_BYTES,
@@ -142,8 +143,8 @@
     task: RefCell<Option<Waker>>,
     /// How much may be read before there is memory for more.
     allowance: Rc<ReadAllowance>,
-    /// When bytes arrived at this machine.
-    arrivals: Rc<Arrivals>,
+    /// What has arrived at this machine.
+    incoming: Incoming,
     /// The memory of a long request head.
     head_memory: HeadMemory,
     charge: ConnectionCharge,
@@ -187,7 +188,7 @@
             response_ends_with_connection: Cell::new(false),
             task: RefCell::default(),
             allowance: Rc::new(ReadAllowance::new(SHORT_MESSAGE_BYTES)),
-            arrivals: Rc::new(Arrivals::new(Instant::now())),
+            incoming: Incoming::new(Instant::now()),
             head_memory: HeadMemory::default(),
             buffer_use: Cell::new(BufferUse::Short),
             charge: self.memory.charge_connection(ConnectionKind::Client),
@@ -360,7 +361,7 @@
         self.head_memory.release();
         self.charge.charge_buffers(self.buffer_use.get());
         self.allowance.set(self.unreserved_bytes());
-        self.arrivals.on_request_ended();
+        self.incoming.arrivals().on_request_ended();
         match (self.state.get(), self.close_intent.get()) {
             (State::Closed, _) => {}
             (_, CloseIntent::Now) => self.begin_close(CloseIntent::Now),
@@ -417,9 +418,9 @@
         &self.allowance
     }
 
-    /// When bytes arrived at this machine.
-    pub fn arrivals(&self) -> &Rc<Arrivals> {
-        &self.arrivals
+    /// What has arrived at this machine.
+    pub fn incoming(&self) -> &Incoming {
+        &self.incoming
     }
 
     /// Whether a request is received whose last byte may arrive before it is read.
--- a/crates/proxy/src/clients/stream.rs
+++ b/crates/proxy/src/clients/stream.rs
@@ -117,7 +117,8 @@
             let polled = serving.as_mut().poll(cx);
             self.library_received_bytes.set(false);
             if polled.is_pending() && !self.library_awaits_socket.get() {
-                if !self.defers_reads() && self.read_was_deferred.take() {
+                let may_read = !self.defers_reads() && self.client.incoming().accepts_bytes();
+                if may_read && self.read_was_deferred.take() {
                     cx.waker().wake_by_ref();
                 } else {
                     self.poll_peer_closed(cx);
@@ -188,7 +189,7 @@
         let read_ahead = self.read_ahead.borrow().len() as u64;
         if self.client.receives_slowly() || read_ahead > 0 {
             let in_system = rustix::io::ioctl_fionread(self.stream.borrow().tcp()).unwrap_or(0);
-            self.client.arrivals().on_unread(in_system + read_ahead, Instant::now());
+            self.client.incoming().arrivals().on_unread(in_system + read_ahead, Instant::now());
         }
     }
 
@@ -213,6 +214,10 @@
         if client.peer_closed.get() || client.is_closing() && !in_flight {
             return Poll::Ready(Ok(()));
         }
+        if !client.incoming().accepts_bytes() {
+            self.read_was_deferred.set(true);
+            return Poll::Pending;
+        }
         let Poll::Ready(allowed) = client.poll_allowance(cx) else { return Poll::Pending };
         let before = buf.filled().len();
         let mut read = self.poll_read_at_most(cx, buf, allowed);
@@ -227,11 +232,15 @@
         }
         match &read {
             Poll::Ready(Ok(())) if buf.filled().len() > before => {
-                self.library_received_bytes.set(true);
-                let received = buf.filled().len() - before;
-                client.allowance().consume(received);
-                client.arrivals().on_read(received as u64, Instant::now());
+                let accepted = client.incoming().accept(&buf.filled()[before..], Instant::now());
+                self.hold_back(&buf.filled()[before + accepted..]);
+                buf.set_filled(before + accepted);
                 client.on_bytes_received();
+                if accepted == 0 {
+                    return Poll::Pending; // the consumer of the body was woken, and rejects the request
+                }
+                self.library_received_bytes.set(true);
+                client.allowance().consume(accepted);
             }
             Poll::Ready(_) => client.on_peer_closed(),
             Poll::Pending => self.library_awaits_socket.set(true),
@@ -239,6 +248,15 @@
         read
     }
 
+    /// Puts bytes that the library may not have yet before those that were read ahead.
+    fn hold_back(&self, bytes: &[u8]) {
+        if !bytes.is_empty() {
+            let mut read_ahead = self.read_ahead.borrow_mut();
+            let behind = std::mem::replace(&mut *read_ahead, BytesMut::from(bytes));
+            read_ahead.extend_from_slice(&behind);
+        }
+    }
+
     fn closes_unless_request_arrives(&self) -> bool {
         let client = &self.client;
         let is_evicted = matches!(client.close_intent.get(), CloseIntent::UnlessRequestArrives(_));
--- a/crates/proxy/src/clients/stream/tests.rs
+++ b/crates/proxy/src/clients/stream/tests.rs
@@ -126,7 +126,7 @@
             }
             run_test(async {
                 let (mut peer, connection, _) = connected().await;
-                let arrivals = connection.client().arrivals().clone();
+                let arrivals = connection.client().incoming().arrivals().clone();
                 connection.client().on_request_dispatched(body);
                 serve_without_reading(&connection);
                 yield_now().await;
--- a/crates/proxy/src/framing/chunked.rs
+++ b/crates/proxy/src/framing/chunked.rs
@@ -1,5 +1,6 @@
 //! Finds the chunks, and the end, of a body in chunks (RFC 9112, section 7.1).
 
+use super::overhead::check_overhead;
 use super::{FramingError, Scanned};
 
 /// The longest line of a chunk's size and extensions. No recipient needs extensions.
@@ -43,12 +44,16 @@
     left: u64,
     /// The bytes of the current size line, or of the trailer section.
     line_bytes: usize,
+    /// The body's own bytes so far.
+    body_bytes: u64,
+    /// The bytes of sizes, extensions, trailers and line ends so far.
+    overhead_bytes: u64,
 }
 
 impl ChunkedScanner {
     /// Creates a scanner at the first chunk.
     pub fn new() -> ChunkedScanner {
-        ChunkedScanner { state: State::FirstDigit, left: 0, line_bytes: 0 }
+        ChunkedScanner { state: State::FirstDigit, left: 0, line_bytes: 0, body_bytes: 0, overhead_bytes: 0 }
     }
 
     /// Scans the next bytes, up to the end of the body if that is among them.
@@ -69,6 +74,9 @@
                 at += 1;
             }
         }
+        self.body_bytes += body_bytes;
+        self.overhead_bytes += at as u64 - body_bytes;
+        check_overhead(self.overhead_bytes, self.body_bytes)?;
         Ok(Scanned { bytes: at, body_bytes, is_complete: self.state == State::Complete })
     }
 
--- a/crates/proxy/src/framing/head.rs
+++ b/crates/proxy/src/framing/head.rs
@@ -4,6 +4,7 @@
 use actix_http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, TRANSFER_ENCODING, UPGRADE};
 use actix_http::{RequestHead, ResponseHead, StatusCode, Version};
 use bytes::{BufMut, BytesMut};
+use std::mem::MaybeUninit;
 
 const CHUNKED: &[u8] = b"chunked";
 /// The only value of `Upgrade` for which the HTTP libraries read the rest of the connection as a body.
@@ -55,6 +56,25 @@
     Ok(declared_by(head.version, &head.headers)?.unwrap_or(BodyFraming::Empty))
 }
 
+/// Decides the framing of a request from the bytes of its head.
+///
+/// # Errors
+/// The head is malformed, can be read in more than one way, or asks for an upgrade that is not supported.
+pub fn of_request_bytes(bytes: &[u8]) -> Result<BodyFraming, FramingError> {
+    let mut fields = [const { MaybeUninit::uninit() }; MAX_FIELDS];
+    let mut request = httparse::Request::new(&mut []);
+    let parsed = request.parse_with_uninit_headers(bytes, &mut fields);
+    if !matches!(parsed, Ok(httparse::Status::Complete(_))) {
+        return Err(FramingError::InvalidHead);
+    }
+    let values = |name: HeaderName| values_of(request.headers, name);
+    if values(UPGRADE).any(|protocol| protocol.trim_ascii().eq_ignore_ascii_case(WEBSOCKET.as_bytes())) {
+        return Err(FramingError::WebSocketUpgrade);
+    }
+    let framing = declared(version_of(request.version), values(CONTENT_LENGTH), values(TRANSFER_ENCODING))?;
+    Ok(framing.unwrap_or(BodyFraming::Empty))
+}
+
 /// Decides the framing of a response, as RFC 9112, section 6.3, lists the cases.
 ///
 /// # Errors
@@ -209,12 +229,21 @@
     if !matches!(config.parse_response(&mut response, bytes), Ok(httparse::Status::Complete(_))) {
         return FramingError::InvalidHead;
     }
-    let version = if response.version == Some(1) { Version::HTTP_11 } else { Version::HTTP_10 };
-    let values = |name: HeaderName| {
-        let named =
-            response.headers.iter().filter(move |field| name.as_str().eq_ignore_ascii_case(field.name));
-        named.map(|field| field.value)
-    };
-    let decided = declared(version, values(CONTENT_LENGTH), values(TRANSFER_ENCODING));
+    let values = |name: HeaderName| values_of(response.headers, name);
+    let decided = declared(version_of(response.version), values(CONTENT_LENGTH), values(TRANSFER_ENCODING));
     decided.err().unwrap_or(FramingError::InvalidHead)
 }
+
+/// The version of a head that was parsed, from its minor number.
+fn version_of(minor: Option<u8>) -> Version {
+    if minor == Some(1) { Version::HTTP_11 } else { Version::HTTP_10 }
+}
+
+/// Returns the values of the fields of this name.
+fn values_of<'a>(
+    fields: &'a [httparse::Header<'a>],
+    name: HeaderName,
+) -> impl Iterator<Item = &'a [u8]> + use<'a> {
+    let named = fields.iter().filter(move |field| name.as_str().eq_ignore_ascii_case(field.name));
+    named.map(|field| field.value)
+}
--- a/crates/proxy/src/framing/mod.rs
+++ b/crates/proxy/src/framing/mod.rs
@@ -15,13 +15,14 @@
 mod head;
 mod overhead;
 mod rejections;
+mod request_scanner;
 
 pub use body_scanner::{BodyScanner, Scanned};
 pub use head::{
     BodyFraming, ExpectedResponse, canonical_head, of_request, of_response, rejected_response_form,
 };
-pub use overhead::OverheadLimit;
 pub use rejections::{RejectedForms, Side};
+pub use request_scanner::RequestScanner;
 
 /// The form for which a message was rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, thiserror::Error)]
--- a/crates/proxy/src/framing/overhead.rs
+++ b/crates/proxy/src/framing/overhead.rs
@@ -4,26 +4,14 @@
 
 /// The bytes of sizes, extensions and trailers that any body may have.
 const FIXED_BYTES: u64 = 64 * 1024;
-/// The bytes beside each byte of the body. Chunks of one byte have five.
-const BYTES_PER_BODY_BYTE: u64 = 8;
+/// The bytes beside each byte of the body. Chunks of one byte have five, and more with extensions.
+const BYTES_PER_BODY_BYTE: u64 = 32;
 
-/// Compares what was read for a body with what the body has received.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct OverheadLimit {
-    read_bytes: u64,
-}
-
-impl OverheadLimit {
-    /// Records that up to `bytes` more are read for a body that has `body_bytes` so far.
-    ///
-    /// # Errors
-    /// More was read than a body of this length can need.
-    pub fn on_read(&mut self, bytes: usize, body_bytes: u64) -> Result<(), FramingError> {
-        let limit = FIXED_BYTES + body_bytes + body_bytes * BYTES_PER_BODY_BYTE;
-        if self.read_bytes > limit {
-            return Err(FramingError::ExcessiveOverhead);
-        }
-        self.read_bytes += bytes as u64;
-        Ok(())
-    }
+/// Checks that a body has no more bytes of sizes, extensions and trailers than it can need.
+///
+/// # Errors
+/// It has more.
+pub fn check_overhead(overhead_bytes: u64, body_bytes: u64) -> Result<(), FramingError> {
+    let limit = FIXED_BYTES + body_bytes.saturating_mul(BYTES_PER_BODY_BYTE);
+    if overhead_bytes > limit { Err(FramingError::ExcessiveOverhead) } else { Ok(()) }
 }
--- /dev/null
+++ b/crates/proxy/src/framing/request_scanner.rs
@@ -0,0 +1,186 @@
+//! Finds the ends of the requests on one connection.
+//!
+//! The HTTP library parses what it reads and does not tell how much of it belongs to which request. So its bytes are
+//! scanned here first: for the end of a head, and from there, by the framing that was decided from the head, for the
+//! end of the body. The library gets only what was accepted: nothing behind a head before its framing is decided,
+//! nothing that doesn't fit the framing, and nothing of the next request together with this one.
+
+use super::head::of_request_bytes;
+use super::{BodyFraming, BodyScanner, FramingError};
+
+/// Follows the requests on one connection.
+#[derive(Debug, Default)]
+pub struct RequestScanner {
+    /// The bytes of the connection that were accepted.
+    accepted_bytes: u64,
+    state: State,
+    /// Where the current request ends, counted from the start of the connection.
+    request_end: Option<u64>,
+    /// The request that is scanned, until the library hands it over. Until then the one before it is the current one.
+    next: Option<NextRequest>,
+}
+
+/// A request that the library has not handed over.
+#[derive(Clone, Copy, Debug)]
+struct NextRequest {
+    framing: BodyFraming,
+    end: Option<u64>,
+}
+
+#[derive(Debug)]
+enum State {
+    /// Scans the lines of a head.
+    Head(HeadScanner),
+    /// A head was scanned, and its framing is not decided.
+    AwaitsFraming,
+    /// Scans a body.
+    Body(BodyScanner),
+    /// The bytes don't fit the framing, so that nothing behind them is a request.
+    Rejected(FramingError),
+}
+
+impl Default for State {
+    fn default() -> State {
+        State::Head(HeadScanner::default())
+    }
+}
+
+impl RequestScanner {
+    /// Scans the next bytes of the connection, and returns how many of them are accepted. The others have to be
+    /// scanned again.
+    pub fn scan(&mut self, bytes: &[u8]) -> usize {
+        match self.state {
+            State::Head(head) if self.next.is_none() => self.scan_head(head, bytes),
+            State::Body(_) => self.scan_body(bytes),
+            State::Head(_) | State::AwaitsFraming | State::Rejected(_) => 0,
+        }
+    }
+
+    fn scan_head(&mut self, mut head: HeadScanner, bytes: &[u8]) -> usize {
+        let is_start = head.is_at_start();
+        let Some(end) = head.scan(bytes) else {
+            self.state = State::Head(head);
+            self.accepted_bytes += bytes.len() as u64;
+            return bytes.len();
+        };
+        self.state = State::AwaitsFraming;
+        self.accepted_bytes += end as u64;
+        // Most heads are read at once. The body behind such a head need not wait for the library.
+        let framing = if is_start { of_request_bytes(&bytes[..end]).ok() } else { None };
+        let Some(framing) = framing else { return end };
+        self.next = Some(NextRequest { framing, end: self.start_body(framing) });
+        end + self.scan_body(&bytes[end..])
+    }
+
+    fn scan_body(&mut self, bytes: &[u8]) -> usize {
+        let State::Body(body) = &mut self.state else { return 0 };
+        match body.scan(bytes) {
+            Ok(scanned) => {
+                self.accepted_bytes += scanned.bytes as u64;
+                if scanned.is_complete {
+                    let end = self.next.as_mut().map_or(&mut self.request_end, |next| &mut next.end);
+                    *end = Some(self.accepted_bytes);
+                    self.state = State::default();
+                }
+                scanned.bytes
+            }
+            Err(error) => {
+                self.state = State::Rejected(error);
+                0
+            }
+        }
+    }
+
+    /// Returns where the body ends, if its framing tells.
+    fn start_body(&mut self, framing: BodyFraming) -> Option<u64> {
+        self.state = BodyScanner::new(framing).map_or_else(State::default, State::Body);
+        framing.length().map(|length| self.accepted_bytes + length)
+    }
+
+    /// Whether bytes may be accepted now.
+    pub fn accepts_bytes(&self) -> bool {
+        match self.state {
+            State::Head(_) => self.next.is_none(),
+            State::Body(_) => true,
+            State::AwaitsFraming | State::Rejected(_) => false,
+        }
+    }
+
+    /// Begins the body of the request whose head was scanned, and which the library has handed over.
+    ///
+    /// # Errors
+    /// The library has read another head, or the bytes that were scanned don't fit the framing.
+    pub fn begin_body(&mut self, framing: BodyFraming) -> Result<(), FramingError> {
+        self.request_end = match (self.next.take(), &self.state) {
+            (_, State::Rejected(error)) => return Err(*error),
+            (Some(next), _) if next.framing == framing => next.end,
+            (None, State::AwaitsFraming) => self.start_body(framing),
+            (Some(_), _) | (None, State::Head(_) | State::Body(_)) => return Err(FramingError::InvalidHead),
+        };
+        Ok(())
+    }
+
+    /// Where the current request ends, counted from the start of the connection. With chunks, that is known once
+    /// they were scanned.
+    #[cfg(test)]
+    pub fn request_end(&self) -> Option<u64> {
+        self.request_end
+    }
+
+    /// Why the bytes don't fit the framing, if they don't.
+    pub fn error(&self) -> Option<FramingError> {
+        match self.state {
+            State::Rejected(error) => Some(error),
+            State::Head(_) | State::AwaitsFraming | State::Body(_) => None,
+        }
+    }
+}
+
+/// Finds the empty line that ends a head. Empty lines before a request's first line don't count (RFC 9112, section
+/// 2.2).
+#[derive(Clone, Copy, Debug, Default)]
+struct HeadScanner {
+    /// Whether the request's first line was found.
+    has_request_line: bool,
+    line: Line,
+}
+
+/// What was scanned of a line.
+#[derive(Clone, Copy, Debug, Default)]
+enum Line {
+    #[default]
+    Empty,
+    CarriageReturn,
+    Other,
+}
+
+impl HeadScanner {
+    /// Whether nothing of the head was scanned.
+    fn is_at_start(self) -> bool {
+        !self.has_request_line && matches!(self.line, Line::Empty)
+    }
+
+    /// Returns how many of the bytes belong to the head, if it ends among them.
+    fn scan(&mut self, bytes: &[u8]) -> Option<usize> {
+        let mut line_start = 0;
+        for (at, _) in bytes.iter().enumerate().filter(|(_, byte)| **byte == b'\n') {
+            self.extend_line(&bytes[line_start..at]);
+            line_start = at + 1;
+            match std::mem::take(&mut self.line) {
+                Line::Other => self.has_request_line = true,
+                Line::Empty | Line::CarriageReturn if self.has_request_line => return Some(line_start),
+                Line::Empty | Line::CarriageReturn => {}
+            }
+        }
+        self.extend_line(&bytes[line_start..]);
+        None
+    }
+
+    fn extend_line(&mut self, bytes: &[u8]) {
+        self.line = match (self.line, bytes) {
+            (line, []) => line,
+            (Line::Empty, [b'\r']) => Line::CarriageReturn,
+            _ => Line::Other,
+        };
+    }
+}
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -11,7 +11,7 @@
 use crate::call::{Body, Call, ResponseContent, Verdict};
 use crate::clients::{Client, Clients, Connection, RequestBody, Stream};
 use crate::config::Sockets;
-use crate::framing::{FramingError, Side};
+use crate::framing::{self, BodyFraming, FramingError, Side};
 use crate::latency::LatencyEstimate;
 use crate::memory::{BufferUse, MemoryAccountant, SHORT_MESSAGE_BYTES, UNRESERVED_BYTES};
 use crate::platform::client;
@@ -319,10 +319,9 @@
         return Ok(client::buffered(client::overloaded()));
     }
     let is_http_1_0 = request.version() == Version::HTTP_10;
-    let response = match request.path() {
-        client::READY => Ok(client::buffered(client::health(control.is_ready()))),
-        client::LIVE => Ok(client::buffered(client::health(true))),
-        _ => serve_request(&control, request, &client).await,
+    let response = match begin_body(&request, &client) {
+        Ok(framing) => respond(&control, request, framing, &client).await,
+        Err(form) => Err(form.into()),
     };
     match response {
         Ok(mut response) => {
@@ -352,9 +351,30 @@
     }
 }
 
+/// Decides the framing of a request, and begins its body with it.
+fn begin_body(request: &Request, client: &Client) -> Result<BodyFraming, FramingError> {
+    let framing = framing::of_request(request.head())?;
+    client.incoming().begin_body(framing)?;
+    Ok(framing)
+}
+
+async fn respond(
+    control: &AcceptControl,
+    request: Request,
+    framing: BodyFraming,
+    client: &Rc<Client>,
+) -> Result<Response<ResponseContent>, client::Reject> {
+    match request.path() {
+        client::READY => Ok(client::buffered(client::health(control.is_ready()))),
+        client::LIVE => Ok(client::buffered(client::health(true))),
+        _ => serve_request(control, request, framing, client).await,
+    }
+}
+
 async fn serve_request(
     control: &AcceptControl,
     request: Request,
+    framing: BodyFraming,
     client: &Rc<Client>,
 ) -> Result<Response<ResponseContent>, client::Reject> {
     client.on_head_received();
@@ -363,9 +383,13 @@
         memory: control.clients.memory(),
         shutdown: &control.shutdown_deadline,
     };
-    let call = parse::parse(&context, request, client).await?;
+    let call = parse::parse(&context, request, framing, client).await?;
     let active = control.stats.as_ref().map(|stats| stats.count_request(usize::from(call.class.0)));
     let response = call_cluster(control, client, call).await?;
+    // No endpoint has the last byte of such a request, whatever it has answered.
+    if let Some(form) = client.incoming().framing_error() {
+        return Err(form.into());
+    }
     Ok(match active {
         None => response,
         Some(active) => count_response(response, active),
--- a/crates/proxy/src/memory/read_allowance.rs
+++ b/crates/proxy/src/memory/read_allowance.rs
@@ -31,13 +31,11 @@
         }
     }
 
-    /// Allows more to be read if nothing remains. Returns whether that was so.
-    pub fn renew(&self, bytes: usize) -> bool {
-        let is_exhausted = self.remaining.get() == 0;
-        if is_exhausted {
+    /// Allows more to be read if nothing remains.
+    pub fn renew(&self, bytes: usize) {
+        if self.remaining.get() == 0 {
             self.set(bytes);
         }
-        is_exhausted
     }
 
     /// What remains. If that is nothing, notes that the reader waits and tells the consumer.
--- a/crates/proxy/src/platform/client.rs
+++ b/crates/proxy/src/platform/client.rs
@@ -4,9 +4,9 @@
 //! `stages/parse.rs` and `listen.rs` call it. It knows nothing of connections or endpoints.
 
 use super::{end_to_end, names};
-use crate::bodies::MAX_BODY_BYTES;
+use crate::bodies::{MAX_BODY_BYTES, RequestBodyError};
 use crate::call::{Body, Call, ClusterUnavailable, Payload, RequestAttributes, ResponseContent, Verdict};
-use crate::framing::{self, BodyFraming, FramingError};
+use crate::framing::{BodyFraming, FramingError};
 use actix_http::header::{self, HeaderName, HeaderValue};
 use actix_http::{ConnectionType, Method, RequestHead, Response, ResponseBuilder, StatusCode};
 use bytes::Bytes;
@@ -58,6 +58,16 @@
     }
 }
 
+impl From<RequestBodyError> for Reject {
+    fn from(error: RequestBodyError) -> Reject {
+        match error {
+            RequestBodyError::Framing(form) => Reject::Framing(form),
+            RequestBodyError::TooLong => Reject::TooLarge,
+            RequestBodyError::Incomplete(_) | RequestBodyError::Released => Reject::Broken,
+        }
+    }
+}
+
 /// The fields of a request's head that the balancer needs.
 pub struct Fields {
     /// The request's id.
@@ -70,12 +80,10 @@
     pub time_left: Option<Duration>,
     /// Whether the client marked the request as a retry.
     pub retry: bool,
-    /// Where the body ends.
-    pub framing: BodyFraming,
 }
 
-/// Reads the fields from the head of a request.
-pub fn fields(head: &RequestHead) -> Result<Fields, Reject> {
+/// Reads the fields from the head of a request whose body has this framing.
+pub fn fields(head: &RequestHead, framing: BodyFraming) -> Result<Fields, Reject> {
     if head.method == Method::CONNECT {
         return Err(Reject::Method);
     }
@@ -84,7 +92,6 @@
         Some(value) => value.to_str().map(Some).map_err(|_| Reject::Header(name.clone(), "not plain text")),
     };
     // A body that is known to be too long is rejected unread.
-    let framing = framing::of_request(head)?;
     if framing.length().is_some_and(|length| length > MAX_BODY_BYTES) {
         return Err(Reject::TooLarge);
     }
@@ -101,7 +108,7 @@
         ))?),
     };
     let (class, tenant) = (class.to_owned(), text(&names::TENANT)?.map(str::to_owned));
-    Ok(Fields { id, class, tenant, time_left, retry: text(&names::RETRY)? == Some("1"), framing })
+    Ok(Fields { id, class, tenant, time_left, retry: text(&names::RETRY)? == Some("1") })
 }
 
 /// Returns the rejection of a request whose class header names an unknown class.
--- a/crates/proxy/src/stages/mod.rs
+++ b/crates/proxy/src/stages/mod.rs
@@ -9,6 +9,7 @@
 
 pub mod admission;
 pub mod attempt;
+mod checked_payload;
 pub mod cluster_selection;
 pub mod context;
 pub mod parse;
--- a/crates/proxy/src/stages/parse.rs
+++ b/crates/proxy/src/stages/parse.rs
@@ -1,19 +1,20 @@
 //! Parses a client's request: reads the fields that the balancer needs, and the body (whole, or the start of
 //! a long one).
 
+use super::checked_payload::CheckedPayload;
 use crate::bodies::{
     BufferedBody, MAX_BUFFERED_BYTES, RequestBody, RequestClock, STREAMED_BODY_MEMORY, USED_BUFFERS_BYTES,
 };
 use crate::call::{Body, Call};
 use crate::clients::Client;
-use crate::framing::OverheadLimit;
+use crate::framing::BodyFraming;
 use crate::memory::{
     BufferUse, IN_TRANSIT_BYTES, MemoryAccountant, Owner, PIECE_BYTES, PendingReservation, Priority,
     ReadAllowance, Reservation,
 };
 use crate::platform::client::{self, Reject};
 use crate::shutdown_deadline::ShutdownDeadline;
-use actix_http::{Payload, Request};
+use actix_http::Request;
 use futures_util::StreamExt;
 use olivecart_decisions::{ClassId, TenantId};
 use olivecart_settings::Site;
@@ -45,9 +46,10 @@
 pub async fn parse(
     context: &ParseContext<'_>,
     mut request: Request,
+    framing: BodyFraming,
     client: &Rc<Client>,
 ) -> Result<Call, Reject> {
-    let fields = client::fields(request.head())?;
+    let fields = client::fields(request.head(), framing)?;
     let (class, time_left, weight) = {
         let site = context.site.borrow();
         let class = site.classes.get(&fields.class).ok_or_else(client::unknown_class)?;
@@ -59,14 +61,14 @@
     let reader = BodyReader {
         context,
         client,
-        length: fields.framing.length(),
+        length: framing.length(),
         client_timeout: time_left,
         weight,
         buffered: BufferedBody::default(),
         memory: BodyMemory::Unreserved,
-        overhead: OverheadLimit::default(),
     };
-    let body = reader.read(request.take_payload()).await?;
+    let payload = CheckedPayload::new(request.take_payload(), client.clone());
+    let body = reader.read(payload).await?;
     let deadline = deadline_of(&body, client, time_left);
     let tenant = fields.tenant.and_then(|t| context.site.borrow().tenants.get(&t));
     let tenant = tenant.map(|t| TenantId(t as u16));
@@ -79,7 +81,7 @@
 /// there for memory. A streamed body whose last byte has not arrived ends now, as far as is known.
 fn deadline_of(body: &Body, client: &Client, time_left: Duration) -> Instant {
     match body {
-        Body::Buffered { .. } => client.arrivals().last_at() + time_left,
+        Body::Buffered { .. } => client.incoming().arrivals().last_at() + time_left,
         Body::Streamed(upload) => upload.clock().deadline().unwrap_or_else(|| Instant::now() + time_left),
     }
 }
@@ -104,12 +106,11 @@
     weight: f64,
     buffered: BufferedBody,
     memory: BodyMemory,
-    overhead: OverheadLimit,
 }
 
 impl BodyReader<'_> {
     /// Reads the body, or the start of a long one.
-    async fn read(mut self, mut payload: Payload) -> Result<Body, Reject> {
+    async fn read(mut self, mut payload: CheckedPayload) -> Result<Body, Reject> {
         let allowance = self.client.allowance().clone();
         loop {
             let chunk = tokio::select! {
@@ -120,12 +121,12 @@
                     continue;
                 }
                 () = allowance.wait_until_exhausted(), if !self.is_waiting() => {
-                    self.allow_next_read(&allowance)?;
+                    self.allow_next_read(&allowance);
                     continue;
                 }
             };
             let Some(chunk) = chunk else { return Ok(self.finish()) };
-            self.buffered.push(chunk.map_err(|_| Reject::Broken)?);
+            self.buffered.push(chunk?);
             if let Some(reservation) = self.take_streamed_reservation() {
                 return Ok(self.stream_rest(payload, allowance, reservation));
             }
@@ -137,10 +138,7 @@
     }
 
     /// Lets the connection read the next piece if there is memory for it, and otherwise starts to wait for some.
-    ///
-    /// # Errors
-    /// More was read than a body of this length can need.
-    fn allow_next_read(&mut self, allowance: &ReadAllowance) -> Result<(), Reject> {
+    fn allow_next_read(&mut self, allowance: &ReadAllowance) {
         match &self.memory {
             BodyMemory::Unreserved => {
                 let priority = Priority {
@@ -150,7 +148,8 @@
                 let reserving =
                     self.context.memory.reserve(Owner::RequestBodies, self.required_memory(), priority);
                 // The last byte may have arrived already, and its client waits from then on.
-                let left = self.client_timeout.saturating_sub(self.client.arrivals().last_at().elapsed());
+                let left =
+                    self.client_timeout.saturating_sub(self.client.incoming().arrivals().last_at().elapsed());
                 let timeout = Box::pin(sleep(MEMORY_TIMEOUT.min(left)));
                 self.memory = BodyMemory::Waiting(reserving, timeout);
             }
@@ -161,12 +160,9 @@
                 let piece = self
                     .length
                     .map_or(PIECE_BYTES, |length| PIECE_BYTES.min(self.remaining(length) as usize).max(1));
-                if allowance.renew(piece) {
-                    self.overhead.on_read(piece, self.buffered.len() as u64)?;
-                }
+                allowance.renew(piece);
             }
         }
-        Ok(())
     }
 
     fn remaining(&self, length: u64) -> u64 {
@@ -232,13 +228,14 @@
     /// Returns a body whose rest is read while it is sent.
     fn stream_rest(
         self,
-        payload: Payload,
+        payload: CheckedPayload,
         allowance: Rc<ReadAllowance>,
         mut reservation: Reservation,
     ) -> Body {
         let start = self.buffered.bytes();
         reservation.shrink_to(start.len() + IN_TRANSIT_BYTES);
-        let clock = RequestClock::new(self.client.arrivals().clone(), self.length, self.client_timeout);
+        let clock =
+            RequestClock::new(self.client.incoming().arrivals().clone(), self.length, self.client_timeout);
         let body = RequestBody::new(self.length, start.into(), payload, clock, allowance, reservation);
         Body::Streamed(Rc::new(body))
     }
