Attempts that were never sent don't use up the attempts of a request

Traced before: three attempts of one request end as NotSent within 21 ms, each at an endpoint that began to drain between the decision and the write check; max-attempts was 3, so the request was shed, although other endpoints were ready.

Cause: dispatch counted every attempt.

Change: attempts that were never sent don't count, up to as many as may be sent. The bound is for an attempt that can't be sent anywhere, as without descriptors. An endpoint that was tried is not tried again, as before.

--- a/crates/decisions/src/balancer/request_events.rs
+++ b/crates/decisions/src/balancer/request_events.rs
@@ -90,8 +90,10 @@
     fn dispatch(&mut self, id: RequestId, actions: &mut Vec<Action>) -> bool {
         let Some(request) = self.requests.get(&id) else { return false };
         let permit = AttemptPermit::of(request, self.settings.classes[request.class].idempotency);
-        let has_attempts_left = request.attempts.len() < self.settings.limits.max_attempts as usize;
-        if !has_attempts_left || self.now >= permit.until || self.now >= request.deadline {
+        if !request.has_attempts_left(self.settings.limits.max_attempts as usize)
+            || self.now >= permit.until
+            || self.now >= request.deadline
+        {
             return false;
         }
         let selection = EndpointSelection {
--- a/crates/decisions/src/in_flight.rs
+++ b/crates/decisions/src/in_flight.rs
@@ -21,6 +21,10 @@
         self.outcome.is_none()
     }
 
+    fn was_never_sent(&self) -> bool {
+        self.outcome == Some(Outcome::NotSent)
+    }
+
     /// Returns whether the attempt may have run. Returns `true` if in doubt.
     pub(crate) fn may_have_run(&self) -> bool {
         !self.outcome.is_some_and(Outcome::was_never_executed)
@@ -54,6 +58,14 @@
         self.attempts.iter().any(|attempt| attempt.slot == slot)
     }
 
+    /// Returns whether another attempt may be made. Attempts that were never sent, such as those to an endpoint that
+    /// began to drain before the first byte, do not count, up to as many as may be sent: without local resources no
+    /// attempt is sent at any endpoint.
+    pub(crate) fn has_attempts_left(&self, max_attempts: usize) -> bool {
+        let unsent = self.attempts.iter().filter(|attempt| attempt.was_never_sent()).count();
+        self.attempts.len() - unsent.min(max_attempts) < max_attempts
+    }
+
     /// Returns whether the request waits for an endpoint or for the response to its last attempt.
     pub(crate) fn is_waiting(&self) -> bool {
         !self.response_started && self.attempts.last().is_none_or(Attempt::is_in_flight)
--- a/crates/decisions/tests/failures.rs
+++ b/crates/decisions/tests/failures.rs
@@ -529,3 +529,26 @@
         assert!(sent >= 15, "one request per {} ms: {sent} of 30 sent", interval / MS);
     }
 }
+
+/// Guards against requests that are shed because three endpoints in a row began to drain before the first byte was written.
+#[test]
+fn attempts_that_were_never_sent_do_not_use_up_those_of_a_request() {
+    use Outcome::{NotSent, Overloaded};
+    let mut settings = settings(Idempotency::NonIdempotent);
+    settings.limits.max_attempts = 3;
+    let unsent_attempts = |outcomes: &[Outcome]| {
+        let mut balancer = TestBalancer::new(settings.clone(), endpoint_entries(12));
+        let (id, mut actions) = balancer.request(10 * S);
+        for (attempt, outcome) in (0..).zip(outcomes) {
+            let Some(at) = selected_endpoint(&actions) else { return (attempt, is_shed(&actions)) };
+            actions = balancer.end_attempt(id, attempt, at, *outcome, 0);
+        }
+        (outcomes.len() as u32, is_shed(&actions))
+    };
+    assert_eq!(unsent_attempts(&[NotSent; 12]), (6, true), "there is an end");
+    assert_eq!(unsent_attempts(&[Overloaded; 12]), (3, true), "these were sent");
+    assert_eq!(
+        unsent_attempts(&[NotSent, NotSent, Overloaded, NotSent, Overloaded, Overloaded, NotSent]),
+        (6, true)
+    );
+}
