Bodies: name the buffers that stay in use behind a sent request

memory and bodies both had a constant USED_BUFFERS_BYTES, for different buffers. That of bodies is now SENT_BODY_BUFFERS_BYTES. No change of behaviour.

--- a/crates/proxy/src/bodies/mod.rs
+++ b/crates/proxy/src/bodies/mod.rs
@@ -27,4 +27,4 @@
 pub const STREAMED_BODY_MEMORY: usize = MAX_BUFFERED_BYTES + IN_TRANSIT_BYTES;
 /// The memory of the libraries' buffers on both sides that remains in use after the last byte of a request was sent,
 /// until the response has come.
-pub const USED_BUFFERS_BYTES: usize = 3 * PIECE_BYTES;
+pub const SENT_BODY_BUFFERS_BYTES: usize = 3 * PIECE_BYTES;
--- a/crates/proxy/src/bodies/request_body.rs
+++ b/crates/proxy/src/bodies/request_body.rs
@@ -1,6 +1,6 @@
 //! A request body that is streamed to an endpoint. Its start is buffered, so that a retry can send it again.
 
-use super::{MAX_BODY_BYTES, Pieces, RequestClock, USED_BUFFERS_BYTES};
+use super::{MAX_BODY_BYTES, Pieces, RequestClock, SENT_BODY_BUFFERS_BYTES};
 use crate::framing::FramingError;
 use crate::memory::{IN_TRANSIT_BYTES, PIECE_BYTES, ReadAllowance, Reservation};
 use actix_http::body::{BodySize, MessageBody};
@@ -184,7 +184,7 @@
             Some(Err(e)) => Some(Err(e)),
             None => {
                 self.ended_at.set(Some(self.ended_at.get().unwrap_or_else(Instant::now)));
-                self.reservation.borrow_mut().shrink_to(USED_BUFFERS_BYTES);
+                self.reservation.borrow_mut().shrink_to(SENT_BODY_BUFFERS_BYTES);
                 self.changed.notify_waiters();
                 None
             }
--- a/crates/proxy/src/bodies/request_body/tests.rs
+++ b/crates/proxy/src/bodies/request_body/tests.rs
@@ -67,7 +67,7 @@
     sender.send(Ok(Bytes::from_static(b"c"))).expect("it reads");
     assert_eq!((next(&mut sent), reserved()), ("c".into(), IN_TRANSIT_BYTES));
     drop(sender);
-    assert_eq!((next(&mut sent), reserved()), ("end".into(), USED_BUFFERS_BYTES));
+    assert_eq!((next(&mut sent), reserved()), ("end".into(), SENT_BODY_BUFFERS_BYTES));
     drop((sent, upload));
     assert_eq!(reserved(), 0);
 }
--- a/crates/proxy/src/stages/parse.rs
+++ b/crates/proxy/src/stages/parse.rs
@@ -3,7 +3,8 @@
 
 use super::checked_payload::CheckedPayload;
 use crate::bodies::{
-    BufferedBody, MAX_BUFFERED_BYTES, RequestBody, RequestClock, STREAMED_BODY_MEMORY, USED_BUFFERS_BYTES,
+    BufferedBody, MAX_BUFFERED_BYTES, RequestBody, RequestClock, SENT_BODY_BUFFERS_BYTES,
+    STREAMED_BODY_MEMORY,
 };
 use crate::call::{Body, Call};
 use crate::clients::Client;
@@ -218,7 +219,7 @@
         let bytes = self.buffered.bytes();
         let reservation = match self.memory {
             BodyMemory::Reserved(mut reservation) => {
-                reservation.shrink_to(bytes.len() + USED_BUFFERS_BYTES);
+                reservation.shrink_to(bytes.len() + SENT_BODY_BUFFERS_BYTES);
                 Some(reservation)
             }
             BodyMemory::Unreserved | BodyMemory::Waiting(..) => None,
