--- a/crates/proxy/src/stages/attempt.rs
+++ b/crates/proxy/src/stages/attempt.rs
@@ -5,22 +5,19 @@
 
 use super::admission::DEADLINE_MARGIN;
 use super::context::Context;
+use super::endpoint_response::{BODY_IDLE_TIMEOUT, ResponseRemainder, forward_remainder, receive};
 use super::request_table::Attempt;
-use super::response_start::{ResponseStart, StartReader};
 use super::write_check::WriteCheck;
 use crate::backends::{Lease, LeaseError};
-use crate::bodies::{BodySender, Pieces, RequestBody, body_channel};
-use crate::call::{Body, EndpointResponse, Payload, ResponseContent, Verdict};
+use crate::bodies::{Pieces, RequestBody};
+use crate::call::{Body, EndpointResponse, Payload, Verdict};
 use crate::connect::ConnectFailure;
-use crate::framing::BodyFraming;
 use crate::memory::PIECE_BYTES;
 use crate::platform::backend;
 use crate::response_monitor::{ResponseMonitor, WriteCheckFn};
-use actix_http::header::{CONNECTION, HeaderMap};
-use actix_http::{HttpMessage, Method, StatusCode};
-use awc::error::{ConnectError, PayloadError, SendRequestError};
+use actix_http::Method;
+use awc::error::{ConnectError, SendRequestError};
 use awc::{ClientResponse, SendClientRequest};
-use futures_util::StreamExt;
 use olivecart_decisions::{AttemptEnd, EndpointId, Event, LoadReport, Outcome, RequestId};
 use slog::debug;
 use std::rc::Rc;
@@ -33,8 +30,6 @@
 /// An attempt may need a head for a pooled connection, another for the connection that replaces it, and a
 /// third one if the process was suspended in between.
 const MAX_HEADS_PER_ATTEMPT: usize = 3;
-/// A long body is given up if neither side makes progress for this time.
-const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The result of an attempt or a health check.
 struct AttemptResult {
@@ -45,16 +40,6 @@
     remainder: Option<Box<ResponseRemainder>>,
 }
 
-/// The remainder of a response whose start was already forwarded.
-struct ResponseRemainder {
-    sender: BodySender,
-    lease: Lease,
-    response: ClientResponse,
-    closes_connection: bool,
-    /// Bytes of the body received so far.
-    received_bytes: u64,
-}
-
 impl From<Outcome> for AttemptResult {
     fn from(outcome: Outcome) -> AttemptResult {
         AttemptResult { outcome, response: None, load: None, remainder: None }
@@ -345,99 +330,6 @@
     }
 }
 
-struct Head {
-    status: StatusCode,
-    headers: HeaderMap,
-}
-
-impl Head {
-    fn of(response: &ClientResponse) -> Head {
-        Head { status: response.status(), headers: response.headers().clone() }
-    }
-
-    fn closes_connection(&self) -> bool {
-        self.headers.get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"))
-    }
-}
-
-/// Receives a whole response and returns its connection to the pool, or receives the start of a long
-/// response.
-async fn receive(
-    context: &Context,
-    lease: Lease,
-    mut response: ClientResponse,
-) -> Result<(Head, ResponseContent, Option<Box<ResponseRemainder>>), Outcome> {
-    let monitor = lease.monitor.clone();
-    let framing = monitor.framing();
-    // Whatever awc reads from the head, a response without a body ends with its head.
-    let has_unread_payload =
-        framing == BodyFraming::Empty && !matches!(response.take_payload(), actix_http::Payload::None);
-    let received = async {
-        let head = Head::of(&response);
-        let is_final = backend::is_final(head.status);
-        let reader = StartReader::new(&context.memory, framing.length(), is_final);
-        let start = reader.read(&mut response).await.map_err(|e| outcome_of_body_error(&e, &monitor))?;
-        if !start.has_more {
-            check_complete(&monitor, start.received_bytes)?;
-        } else if !is_final {
-            return Err(Outcome::Error); // an error response is not forwarded, so its long body is not needed
-        }
-        Ok((head, start))
-    };
-    let (head, start) = tokio::select! {
-        biased;
-        received = received => received?,
-        () = monitor.wait_until_stalled() => return Err(Outcome::Error),
-    };
-    let closes_connection = has_unread_payload || head.closes_connection();
-    let ResponseStart { bytes, received_bytes, has_more, reservation } = start;
-    if !has_more {
-        if !closes_connection {
-            context.backends.release(lease);
-        }
-        let body = ResponseContent::Buffered(Pieces::new(bytes, reservation));
-        return Ok((head, body, None));
-    }
-    let (sender, download) = body_channel(framing.length(), bytes.into(), reservation);
-    let remainder =
-        Box::new(ResponseRemainder { sender, lease, response, closes_connection, received_bytes });
-    Ok((head, ResponseContent::Streamed(download), Some(remainder)))
-}
-
-/// Forwards the remainder of a response as fast as the client reads it.
-async fn forward_remainder(context: &Context, remainder: ResponseRemainder) -> Outcome {
-    let ResponseRemainder { sender, lease, mut response, closes_connection, mut received_bytes } = remainder;
-    let monitor = lease.monitor.clone();
-    let forwarding = async {
-        loop {
-            let chunk = match timeout(BODY_IDLE_TIMEOUT, response.next()).await {
-                Err(_) => return Outcome::Timeout,
-                Ok(Some(Err(e))) => return outcome_of_body_error(&e, &monitor),
-                Ok(Some(Ok(chunk))) => chunk,
-                Ok(None) => break,
-            };
-            received_bytes += chunk.len() as u64;
-            match timeout(BODY_IDLE_TIMEOUT, sender.send(chunk)).await {
-                Ok(true) => {}
-                Ok(false) | Err(_) => return Outcome::Cancelled, // disconnected, or stopped reading
-            }
-        }
-        if let Err(outcome) = check_complete(&monitor, received_bytes) {
-            return outcome;
-        }
-        sender.finish().await;
-        if !closes_connection {
-            context.backends.release(lease);
-        }
-        Outcome::Ok
-    };
-    tokio::select! {
-        biased;
-        outcome = forwarding => outcome,
-        () = sender.wait_until_reader_dropped() => Outcome::Cancelled, // the client disconnected
-    }
-}
-
 /// Whether nothing was sent because the pooled connection had already been closed.
 fn lacked_connection(error: &SendRequestError) -> bool {
     matches!(error, SendRequestError::Connect(ConnectError::Io(_)))
@@ -458,23 +350,6 @@
     }
 }
 
-/// Returns the outcome of an attempt whose response body can't be read to its end.
-fn outcome_of_body_error(_: &PayloadError, monitor: &ResponseMonitor) -> Outcome {
-    if monitor.malformed.get() { Outcome::Error } else { Outcome::Reset }
-}
-
-/// Checks that a body that ended is complete. awc reports no error if the connection ends in the middle of a
-/// body. A body that ends with the connection is complete if the endpoint closed it.
-fn check_complete(monitor: &ResponseMonitor, received_bytes: u64) -> Result<(), Outcome> {
-    let framing = monitor.framing();
-    let has_end = match framing {
-        BodyFraming::UntilClose => monitor.peer_closed.get(),
-        BodyFraming::Empty | BodyFraming::Length(_) | BodyFraming::Chunked => monitor.is_response_complete(),
-    };
-    let has_length = framing.length().is_none_or(|length| length == received_bytes);
-    if has_end && has_length { Ok(()) } else { Err(Outcome::Reset) }
-}
-
 /// Checks the health of an endpoint and reports the result to the balancer. Reports nothing if the check
 /// could not be sent for want of local resources.
 pub async fn health_check(context: Rc<Context>, endpoint: EndpointId) {
--- a/crates/proxy/src/stages/attempt/tests.rs
+++ b/crates/proxy/src/stages/attempt/tests.rs
@@ -4,6 +4,7 @@
 use crate::descriptors::Descriptors;
 use crate::stages::context::{EventSink, Limits};
 use actix_http::error::ParseError;
+use actix_http::header::HeaderMap;
 use actix_http::header::HeaderValue;
 use bytes::Bytes;
 use olivecart_decisions::RequestId;
--- a/crates/proxy/src/stages/mod.rs
+++ b/crates/proxy/src/stages/mod.rs
@@ -12,6 +12,7 @@
 mod checked_payload;
 pub mod cluster_selection;
 pub mod context;
+mod endpoint_response;
 pub mod parse;
 pub mod request_table;
 pub mod response;
