Let the HTTP library have pipelined requests again, so that each has an answer

What was seen: of five requests in one write, behind the first of which the connection closes (a shutdown), only that one had an answer.

Cause: since the scanner held back what is behind a request until the library had handed it over. The library answers requests that it has read; what is held back goes with the connection.

Change: the scanner accepts up to 16 requests that are read together, as many as the library takes, and keeps framing and end of each until it is handed over. A body that doesn't fit its framing is a fault of its own request alone.

--- a/crates/proxy/src/framing/request_scanner.rs
+++ b/crates/proxy/src/framing/request_scanner.rs
@@ -2,11 +2,15 @@
 //!
 //! The HTTP library parses what it reads and does not tell how much of it belongs to which request. So its bytes are
 //! scanned here first: for the end of a head, and from there, by the framing that was decided from the head, for the
-//! end of the body. The library gets only what was accepted: nothing behind a head before its framing is decided,
-//! nothing that doesn't fit the framing, and nothing of the next request together with this one.
+//! end of the body. The library gets only what was accepted: nothing behind a head whose framing is not decided, and
+//! nothing that doesn't fit the framing.
 
 use super::head::of_request_bytes;
 use super::{BodyFraming, BodyScanner, FramingError};
+use std::collections::VecDeque;
+
+/// The most requests that are scanned before the library hands them over. It takes no more of them at once either.
+const MAX_PIPELINED_REQUESTS: usize = 16;
 
 /// Follows the requests on one connection.
 #[derive(Debug, Default)]
@@ -16,13 +20,13 @@
     state: State,
     /// Where the current request ends, counted from the start of the connection.
     request_end: Option<u64>,
-    /// The request that is scanned, until the library hands it over. Until then the one before it is the current one.
-    next: Option<NextRequest>,
+    /// The requests behind the current one, which the library has not handed over. The state is that of the last one.
+    pipelined: VecDeque<PipelinedRequest>,
 }
 
-/// A request that the library has not handed over.
+/// A request that was scanned and that the library has not handed over.
 #[derive(Clone, Copy, Debug)]
-struct NextRequest {
+struct PipelinedRequest {
     framing: BodyFraming,
     end: Option<u64>,
 }
@@ -49,10 +53,19 @@
     /// Scans the next bytes of the connection, and returns how many of them are accepted. The others have to be
     /// scanned again.
     pub fn scan(&mut self, bytes: &[u8]) -> usize {
+        let mut accepted = 0;
+        while accepted < bytes.len() && self.accepts_bytes() {
+            accepted += self.scan_part(&bytes[accepted..]);
+        }
+        accepted
+    }
+
+    /// Scans up to the end of the head or the body, and returns how many bytes are accepted.
+    fn scan_part(&mut self, bytes: &[u8]) -> usize {
         match self.state {
-            State::Head(head) if self.next.is_none() => self.scan_head(head, bytes),
+            State::Head(head) => self.scan_head(head, bytes),
             State::Body(_) => self.scan_body(bytes),
-            State::Head(_) | State::AwaitsFraming | State::Rejected(_) => 0,
+            State::AwaitsFraming | State::Rejected(_) => 0,
         }
     }
 
@@ -66,10 +79,11 @@
         self.state = State::AwaitsFraming;
         self.accepted_bytes += end as u64;
         // Most heads are read at once. The body behind such a head need not wait for the library.
-        let framing = if is_start { of_request_bytes(&bytes[..end]).ok() } else { None };
-        let Some(framing) = framing else { return end };
-        self.next = Some(NextRequest { framing, end: self.start_body(framing) });
-        end + self.scan_body(&bytes[end..])
+        if is_start && let Ok(framing) = of_request_bytes(&bytes[..end]) {
+            let end = self.start_body(framing);
+            self.pipelined.push_back(PipelinedRequest { framing, end });
+        }
+        end
     }
 
     fn scan_body(&mut self, bytes: &[u8]) -> usize {
@@ -78,8 +92,9 @@
             Ok(scanned) => {
                 self.accepted_bytes += scanned.bytes as u64;
                 if scanned.is_complete {
-                    let end = self.next.as_mut().map_or(&mut self.request_end, |next| &mut next.end);
-                    *end = Some(self.accepted_bytes);
+                    let last = self.pipelined.back_mut();
+                    *last.map_or(&mut self.request_end, |request| &mut request.end) =
+                        Some(self.accepted_bytes);
                     self.state = State::default();
                 }
                 scanned.bytes
@@ -100,7 +115,7 @@
     /// Whether bytes may be accepted now.
     pub fn accepts_bytes(&self) -> bool {
         match self.state {
-            State::Head(_) => self.next.is_none(),
+            State::Head(_) => self.pipelined.len() < MAX_PIPELINED_REQUESTS,
             State::Body(_) => true,
             State::AwaitsFraming | State::Rejected(_) => false,
         }
@@ -111,11 +126,14 @@
     /// # Errors
     /// The library has read another head, or the bytes that were scanned don't fit the framing.
     pub fn begin_body(&mut self, framing: BodyFraming) -> Result<(), FramingError> {
-        self.request_end = match (self.next.take(), &self.state) {
-            (_, State::Rejected(error)) => return Err(*error),
+        let next = self.pipelined.pop_front();
+        if let Some(error) = self.error() {
+            return Err(error);
+        }
+        self.request_end = match (next, &self.state) {
             (Some(next), _) if next.framing == framing => next.end,
             (None, State::AwaitsFraming) => self.start_body(framing),
-            (Some(_), _) | (None, State::Head(_) | State::Body(_)) => return Err(FramingError::InvalidHead),
+            (Some(_), _) | (None, _) => return Err(FramingError::InvalidHead),
         };
         Ok(())
     }
@@ -126,11 +144,11 @@
         self.request_end
     }
 
-    /// Why the bytes don't fit the framing, if they don't.
+    /// Why the bytes of the current request don't fit its framing, if they don't.
     pub fn error(&self) -> Option<FramingError> {
         match self.state {
-            State::Rejected(error) => Some(error),
-            State::Head(_) | State::AwaitsFraming | State::Body(_) => None,
+            State::Rejected(error) if self.pipelined.is_empty() => Some(error),
+            State::Head(_) | State::AwaitsFraming | State::Body(_) | State::Rejected(_) => None,
         }
     }
 }
--- a/crates/proxy/tests/closing.rs
+++ b/crates/proxy/tests/closing.rs
@@ -219,3 +219,31 @@
     assert!(read_to_end(&mut rejected).starts_with("HTTP/1.1 400 "));
     assert!(read_to_end(&mut idle).starts_with("HTTP/1.1 200 "));
 }
+
+/// Guards against requests that were read with the one before them, and whose connection closes without an answer to them.
+#[test]
+fn requests_read_behind_the_last_one_of_a_connection_are_answered() {
+    let raw = |path: &str| request(path, "").replace("\r\n", "\\r\\n");
+    play_with(
+        &["a"],
+        SETTINGS,
+        &format!(
+            "c send GET /0
+             a expect GET /0
+             a send 200
+             c expect 200
+             c2 send raw {}{}{}
+             a expect GET /1
+             proxy send TERM
+             c expect closed
+             a send 200 | 1
+             c2 expect 200 | 1
+             c2 expect 503
+             c2 expect 503
+             c2 expect closed",
+            raw("/1"),
+            raw("/2"),
+            raw("/3")
+        ),
+    );
+}
