Bytes behind a request don't put off the end of its wait for memory

What was seen, by reading: the wait of a body for memory ended a client's time after the last arrival on its connection.

Change: the wait runs from the last byte of the request, where that has arrived.

Test: wait_for_memory_runs_from_the_last_byte_of_the_request fails with the last arrival (1 s in place of 0) and passes.

--- a/crates/proxy/src/stages/parse.rs
+++ b/crates/proxy/src/stages/parse.rs
@@ -2,6 +2,7 @@
 //! a long one).
 
 use super::checked_payload::CheckedPayload;
+use crate::arrivals::Arrivals;
 use crate::bodies::{
     BufferedBody, MAX_BUFFERED_BYTES, RequestBody, RequestClock, SENT_BODY_BUFFERS_BYTES,
     STREAMED_BODY_MEMORY,
@@ -149,11 +150,8 @@
                 };
                 let reserving =
                     self.context.memory.reserve(Owner::RequestBodies, self.required_memory(), priority);
-                // The last byte may have arrived already, and its client waits from then on.
-                let left =
-                    self.client_timeout.saturating_sub(self.client.incoming().arrivals().last_at().elapsed());
-                let timeout = Box::pin(sleep(MEMORY_TIMEOUT.min(left)));
-                self.memory = BodyMemory::Waiting(reserving, timeout);
+                let timeout = memory_timeout(self.client.incoming().arrivals(), self.client_timeout);
+                self.memory = BodyMemory::Waiting(reserving, Box::pin(sleep(timeout)));
             }
             BodyMemory::Waiting(..) => {}
             BodyMemory::Reserved(_) => {
@@ -243,6 +241,12 @@
     }
 }
 
+/// How long a body may wait for memory. The last byte may have arrived already, and its client waits from then on.
+fn memory_timeout(arrivals: &Arrivals, client_timeout: Duration) -> Duration {
+    let arrived_at = arrivals.request_ended_at().unwrap_or_else(|| arrivals.last_at());
+    MEMORY_TIMEOUT.min(client_timeout.saturating_sub(arrived_at.elapsed()))
+}
+
 /// Waits for the reservation of a body that waits for memory. A client whose last byte is in the system's buffers
 /// already has sent its whole request, so that it must have a response before the end of a shutdown.
 async fn wait_for_memory(
--- a/crates/proxy/src/stages/parse/tests.rs
+++ b/crates/proxy/src/stages/parse/tests.rs
@@ -43,3 +43,15 @@
     let body = Body::Buffered { bytes: bytes::Bytes::new(), _reservation: None };
     assert_eq!(deadline_of(&body, &client, time_left), arrived_at + time_left);
 }
+
+/// Guards against bytes behind a request that put off the end of its wait for memory.
+#[test]
+fn wait_for_memory_runs_from_the_last_byte_of_the_request() {
+    let (timeout, long_ago) = (Duration::from_secs(1), Instant::now() - Duration::from_secs(2));
+    let arrivals = Arrivals::new(long_ago);
+    arrivals.on_unread(2_000, long_ago);
+    assert_eq!(memory_timeout(&arrivals, timeout), Duration::ZERO, "read ahead long ago");
+    arrivals.set_request_end(Some(2_000));
+    arrivals.on_unread(2_001, Instant::now());
+    assert_eq!(memory_timeout(&arrivals, timeout), Duration::ZERO, "a byte came behind it");
+}
