--- a/crates/proxy/tests/bodies.rs
+++ b/crates/proxy/tests/bodies.rs
@@ -3,6 +3,7 @@
 
 mod scenario;
 mod site;
+use scenario::http::read_head;
 use scenario::{STEP_TIMEOUT, free_port, serve};
 use site::{Process, Site, generous_settings};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
@@ -22,17 +23,6 @@
     (from..from + length).map(byte).collect()
 }
 
-/// Reads a head including its blank line, or returns `None` if the connection ends before.
-fn read_head(reader: &mut impl BufRead) -> Option<String> {
-    let mut head = String::new();
-    while !head.ends_with("\r\n\r\n") {
-        if reader.read_line(&mut head).ok()? == 0 {
-            return None;
-        }
-    }
-    Some(head)
-}
-
 /// Starts a backend that handles requests with `answer`, on a thread for each connection, and answers health
 /// checks itself.
 fn backend(answer: impl Fn(&mut BufReader<TcpStream>, &str) + Send + Sync + 'static) -> SocketAddr {
--- a/crates/proxy/tests/connection_reuse.rs
+++ b/crates/proxy/tests/connection_reuse.rs
@@ -3,6 +3,7 @@
 
 mod scenario;
 mod site;
+use scenario::http::read_head;
 use scenario::{Message, STEP_TIMEOUT, read_message, serve};
 use site::{Process, Site};
 use std::io::{BufReader, Write};
@@ -117,16 +118,6 @@
     Some(())
 }
 
-fn read_head(reader: &mut BufReader<TcpStream>) -> Option<String> {
-    let mut head = String::new();
-    while !head.ends_with("\r\n\r\n") {
-        if std::io::BufRead::read_line(reader, &mut head).ok()? == 0 {
-            return None;
-        }
-    }
-    Some(head)
-}
-
 /// Guards against serving a response that arrived while the request was still being sent, for which an endpoint
 /// can't have made it.
 #[test]
--- a/crates/proxy/tests/framing.rs
+++ b/crates/proxy/tests/framing.rs
@@ -3,6 +3,7 @@
 
 mod scenario;
 mod site;
+use scenario::http::read_head;
 use scenario::{STEP_TIMEOUT, serve};
 use site::{Process, Site, generous_settings};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
@@ -106,16 +107,6 @@
     (0..length).map(|at| (at % 251) as u8).collect()
 }
 
-fn read_head(reader: &mut impl BufRead) -> Option<String> {
-    let mut head = String::new();
-    while !head.ends_with("\r\n\r\n") {
-        if reader.read_line(&mut head).ok()? == 0 {
-            return None;
-        }
-    }
-    Some(head)
-}
-
 /// Starts a backend that answers `GET /FORM/LENGTH` with a response of that form, and closes.
 fn backend() -> SocketAddr {
     serve(|mut stream| {
--- a/crates/proxy/tests/scenario/mod.rs
+++ b/crates/proxy/tests/scenario/mod.rs
@@ -39,15 +39,17 @@
 
 #![allow(dead_code)] // no test file uses all of it
 
+pub mod http;
 pub mod plane;
 pub mod program;
 
+pub use http::{Message, read_message};
 use olivecart_lab::control_plane::Resources;
 use plane::Plane;
 use program::Program;
 use socket2::{Domain, Socket, Type};
 use std::collections::HashMap;
-use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::unix::process::ExitStatusExt;
 use std::path::{Path, PathBuf};
@@ -97,30 +99,6 @@
     }
 }
 
-/// An HTTP message: its first line without the version, its headers with lower-case names, and its body.
-pub struct Message {
-    pub first: String,
-    pub headers: HashMap<String, String>,
-    pub body: String,
-}
-
-pub fn read_message(from: &mut impl BufRead) -> std::io::Result<Option<Message>> {
-    let (mut lines, mut line) = (Vec::new(), String::new());
-    while from.read_line(&mut line)? > 0 && !line.trim().is_empty() {
-        lines.push(std::mem::take(&mut line).trim_end().to_owned());
-    }
-    if lines.is_empty() {
-        return Ok(None);
-    }
-    let first = lines.remove(0).replace(" HTTP/1.1", "").replace("HTTP/1.1 ", "");
-    let header = |l: String| l.split_once(": ").map(|(n, v)| (n.to_lowercase(), v.to_owned()));
-    let headers: HashMap<_, _> = lines.into_iter().filter_map(header).collect();
-    let length = headers.get("content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
-    let mut body = vec![0; length];
-    from.read_exact(&mut body)?;
-    Ok(Some(Message { first, headers, body: String::from_utf8_lossy(&body).into_owned() }))
-}
-
 /// Serves each connection on a separate thread until the process ends.
 pub fn serve(connection: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
--- a/crates/proxy/tests/upload_deadlines.rs
+++ b/crates/proxy/tests/upload_deadlines.rs
@@ -3,11 +3,12 @@
 
 mod scenario;
 mod site;
+use scenario::http::read_head;
 use scenario::{STEP_TIMEOUT, serve_at};
 use site::{Process, Site, generous_settings};
 use socket2::{Domain, Socket, Type};
 use std::collections::HashSet;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::ops::Range;
 use std::sync::{Condvar, LazyLock, Mutex};
@@ -51,16 +52,6 @@
     Slowly(usize, Duration),
 }
 
-fn read_head(reader: &mut impl BufRead) -> Option<String> {
-    let mut head = String::new();
-    while !head.ends_with("\r\n\r\n") {
-        if reader.read_line(&mut head).ok()? == 0 {
-            return None;
-        }
-    }
-    Some(head)
-}
-
 /// Starts a backend that reads bodies in one way, and answers once it has read to the end.
 fn backend(reading: Reading) -> SocketAddr {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
