Shorter functions round requests and responses, and the typed error of a response

The read of a client's stream, the handler of requests and the run of an attempt had grown over 40 lines or further: what is passed on to the library, which response is the last one, and the report of a faulty response are functions of their own. The error of a malformed response is its type again, not a text. Bytes behind a long response are logged as those behind a short one. put_back is the name of what was hold_back.

--- a/crates/proxy/src/clients/stream.rs
+++ b/crates/proxy/src/clients/stream.rs
@@ -231,25 +231,29 @@
             };
         }
         match &read {
-            Poll::Ready(Ok(())) if buf.filled().len() > before => {
-                let accepted = client.incoming().accept(&buf.filled()[before..], Instant::now());
-                self.hold_back(&buf.filled()[before + accepted..]);
-                buf.set_filled(before + accepted);
-                client.on_bytes_received();
-                if accepted == 0 {
-                    return Poll::Pending; // the consumer of the body was woken, and rejects the request
-                }
-                self.library_received_bytes.set(true);
-                client.allowance().consume(accepted);
-            }
+            Poll::Ready(Ok(())) if buf.filled().len() > before => return self.pass_on_accepted(buf, before),
             Poll::Ready(_) => client.on_peer_closed(),
             Poll::Pending => self.library_awaits_socket.set(true),
         }
         read
     }
 
+    /// Leaves those of the bytes that were read from `before` on in the buffer that the library may have.
+    fn pass_on_accepted(&self, buf: &mut ReadBuf<'_>, before: usize) -> Poll<io::Result<()>> {
+        let accepted = self.client.incoming().accept(&buf.filled()[before..], Instant::now());
+        self.put_back(&buf.filled()[before + accepted..]);
+        buf.set_filled(before + accepted);
+        self.client.on_bytes_received();
+        if accepted == 0 {
+            return Poll::Pending; // the consumer of the body was woken, and rejects the request
+        }
+        self.library_received_bytes.set(true);
+        self.client.allowance().consume(accepted);
+        Poll::Ready(Ok(()))
+    }
+
     /// Puts bytes that the library may not have yet before those that were read ahead.
-    fn hold_back(&self, bytes: &[u8]) {
+    fn put_back(&self, bytes: &[u8]) {
         if !bytes.is_empty() {
             let mut read_ahead = self.read_ahead.borrow_mut();
             let behind = std::mem::replace(&mut *read_ahead, BytesMut::from(bytes));
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -329,10 +329,8 @@
             if is_http_1_0 && response.body().size() == BodySize::Stream {
                 client.end_response_with_connection();
                 response.head_mut().no_chunking(true); // HTTP/1.0 has no chunks
-                response.head_mut().set_connection_type(ConnectionType::Close);
             }
-            let is_last = control.closing.get() || !*control.accepting.borrow() || client.is_closing();
-            if is_last || client.gives_back_buffers() {
+            if is_last_response(&control, &client) {
                 response.head_mut().set_connection_type(ConnectionType::Close);
             }
             if response.head().connection_type() == ConnectionType::Close {
@@ -351,6 +349,15 @@
     }
 }
 
+/// Whether the connection is to be closed after the response.
+fn is_last_response(control: &AcceptControl, client: &Client) -> bool {
+    control.closing.get()
+        || !*control.accepting.borrow()
+        || client.is_closing()
+        || client.gives_back_buffers()
+        || client.needs_reset_after_incomplete_response()
+}
+
 /// Decides the framing of a request, and begins its body with it.
 fn begin_body(request: &Request, client: &Client) -> Result<BodyFraming, FramingError> {
     let framing = framing::of_request(request.head())?;
--- a/crates/proxy/src/response_monitor.rs
+++ b/crates/proxy/src/response_monitor.rs
@@ -47,8 +47,8 @@
     pub connected: Cell<bool>,
     /// Whether the peer closed its side of the connection, or the stream failed.
     pub peer_closed: Cell<bool>,
-    /// Whether the received bytes are not a valid response.
-    pub malformed: Cell<bool>,
+    /// Why the received bytes are not a valid response, if they are not.
+    malformed: Cell<Option<MalformedResponse>>,
     /// The form for which the response was rejected, until this was asked.
     rejected_form: Cell<Option<FramingError>>,
     /// The framing of the current response, once its head was received.
@@ -156,7 +156,7 @@
         ResponseMonitor {
             connected: flag(),
             peer_closed: flag(),
-            malformed: flag(),
+            malformed: Cell::default(),
             rejected_form: Cell::default(),
             framing: Cell::new(BodyFraming::Empty),
             expects_no_body: flag(),
@@ -213,14 +213,10 @@
     pub fn on_connected(&self) {
         // If there was a connection before, it was closed.
         self.reconnected.set(self.connected.replace(true));
-        let of_connection = [
-            &self.peer_closed,
-            &self.malformed,
-            &self.has_excess_bytes,
-            &self.drops_copies,
-            &self.copy_dropped,
-        ];
+        let of_connection =
+            [&self.peer_closed, &self.has_excess_bytes, &self.drops_copies, &self.copy_dropped];
         of_connection.iter().for_each(|flag| flag.set(false));
+        self.malformed.set(None);
         self.last_response.set(None);
         self.last_received_at.set(None);
         *self.reading.borrow_mut() = Reading::default();
@@ -231,6 +227,11 @@
         matches!(self.reading.borrow().phase, Phase::Idle)
     }
 
+    /// Whether the received bytes are not a valid response.
+    pub fn is_malformed(&self) -> bool {
+        self.malformed.get().is_some()
+    }
+
     /// The framing of the current response, whose head was received.
     pub fn framing(&self) -> BodyFraming {
         self.framing.get()
@@ -246,7 +247,7 @@
     pub fn is_reusable(&self) -> bool {
         self.is_response_complete()
             && !self.peer_closed.get()
-            && !self.malformed.get()
+            && !self.is_malformed()
             && !self.has_excess_bytes.get()
             && !self.copy_dropped.get()
     }
@@ -395,15 +396,11 @@
     }
 
     fn on_malformed(&self, error: MalformedResponse) {
-        self.malformed.set(true);
+        self.malformed.set(Some(error));
         if let MalformedResponse::Framing(form) = error {
             self.rejected_form.set(Some(form));
         }
     }
-
-    fn malformed_response_error() -> Poll<io::Result<()>> {
-        Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, "malformed HTTP response")))
-    }
 }
 
 /// Whether bytes or the end of the stream were received that the runtime has not reported yet. Without this
@@ -425,8 +422,8 @@
     ) -> Poll<io::Result<()>> {
         let mut reading = self.reading.borrow_mut();
         loop {
-            if self.malformed.get() {
-                return ResponseMonitor::malformed_response_error();
+            if let Some(error) = self.malformed.get() {
+                return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, error)));
             }
             // The end of a response is passed on only after another read, which shows whether excess bytes or
             // a close follow it.
--- a/crates/proxy/src/stages/attempt.rs
+++ b/crates/proxy/src/stages/attempt.rs
@@ -51,7 +51,6 @@
     let began = Instant::now();
     let lease = context.backends.lease(endpoint);
     let monitor = lease.as_ref().ok().map(|lease| lease.monitor.clone());
-    let target = lease.as_ref().ok().map(|lease| lease.target);
     let write_check =
         lease.as_ref().ok().map(|lease| Rc::new(WriteCheck::new(&context, &attempt, lease.target)));
     if let Some(monitor) = &monitor {
@@ -109,9 +108,6 @@
     record_outcome(&context, &attempt, endpoint, elapsed, result);
     let Some(remainder) = remainder else { return };
     let outcome = forward_remainder(&context, *remainder).await;
-    if let (Some(monitor), Some(target)) = (&monitor, target) {
-        context.report_rejected_form(target, monitor);
-    }
     // The attempt was already counted as a success, although the endpoint may have failed during the
     // response.
     if !matches!(outcome, Outcome::Ok | Outcome::Cancelled) {
@@ -212,8 +208,7 @@
     if pooled_connection_broke || reused && reconnected {
         context.backends.on_pooled_connection_closed(target.endpoint);
     }
-    context.backends.report_excess_bytes(target, &monitor);
-    context.report_rejected_form(target, &monitor);
+    context.report_faulty_response(target, &monitor);
     match received {
         Ok((head, body, remainder)) => {
             let outcome = backend::outcome(head.status, &head.headers);
@@ -341,7 +336,7 @@
 /// response: the endpoint is reachable, and does not cut off requests.
 fn outcome_of_error(error: &SendRequestError, monitor: &ResponseMonitor) -> Outcome {
     match error {
-        _ if monitor.malformed.get() => Outcome::Error,
+        _ if monitor.is_malformed() => Outcome::Error,
         _ if monitor.is_write_rejected() => Outcome::NotSent,
         SendRequestError::Connect(ConnectError::Disconnected) => Outcome::Reset,
         SendRequestError::Connect(_) => Outcome::ConnectFailed,
--- a/crates/proxy/src/stages/context.rs
+++ b/crates/proxy/src/stages/context.rs
@@ -110,8 +110,9 @@
         self.open_requests.set(self.open_requests.get() - 1);
     }
 
-    /// Counts and logs a response that was rejected for its form, if there was one.
-    pub fn report_rejected_form(&self, target: Target, monitor: &ResponseMonitor) {
+    /// Reports bytes behind a response, and a response that was rejected for its form, if there were any.
+    pub fn report_faulty_response(&self, target: Target, monitor: &ResponseMonitor) {
+        self.backends.report_excess_bytes(target, monitor);
         let Some(form) = monitor.take_rejected_form() else { return };
         self.backends.log_rejected_form(target, form);
         self.stats.iter().for_each(|stats| stats.rejected_forms().count(Side::Endpoint, form));
--- a/crates/proxy/src/stages/endpoint_response.rs
+++ b/crates/proxy/src/stages/endpoint_response.rs
@@ -95,7 +95,7 @@
 /// Forwards the remainder of a response as fast as the client reads it.
 pub async fn forward_remainder(context: &Context, remainder: ResponseRemainder) -> Outcome {
     let ResponseRemainder { sender, lease, mut response, closes_connection, mut received_bytes } = remainder;
-    let monitor = lease.monitor.clone();
+    let (monitor, target) = (lease.monitor.clone(), lease.target);
     let forwarding = async {
         loop {
             let chunk = match timeout(BODY_IDLE_TIMEOUT, response.next()).await {
@@ -119,16 +119,18 @@
         }
         Outcome::Ok
     };
-    tokio::select! {
+    let outcome = tokio::select! {
         biased;
         outcome = forwarding => outcome,
         () = sender.wait_until_reader_dropped() => Outcome::Cancelled, // the client disconnected
-    }
+    };
+    context.report_faulty_response(target, &monitor);
+    outcome
 }
 
 /// Returns the outcome of an attempt whose response body can't be read to its end.
 fn outcome_of_body_error(_: &PayloadError, monitor: &ResponseMonitor) -> Outcome {
-    if monitor.malformed.get() { Outcome::Error } else { Outcome::Reset }
+    if monitor.is_malformed() { Outcome::Error } else { Outcome::Reset }
 }
 
 /// Checks that a body that ended is complete. awc reports no error if the connection ends in the middle of a
