--- a/crates/proxy/src/clients/stream.rs
+++ b/crates/proxy/src/clients/stream.rs
@@ -358,16 +358,18 @@
                         client.on_peer_closed();
                     }
                 }
-                Poll::Ready(Ok(())) if self.has_read_ahead_memory() => {
-                    self.read_ahead.borrow_mut().extend_from_slice(received);
-                    self.note_arrivals();
-                }
+                Poll::Ready(Ok(())) if self.has_read_ahead_memory() => self.keep_read_ahead(received),
                 // No response to these bytes is owed yet, so that they can be discarded.
                 Poll::Ready(Ok(())) => client.close_after_response(),
             }
         }
     }
 
+    fn keep_read_ahead(&self, received: &[u8]) {
+        self.read_ahead.borrow_mut().extend_from_slice(received);
+        self.note_arrivals();
+    }
+
     /// How many bytes may still be read ahead. A body that waits for memory stays unread.
     fn read_ahead_capacity(&self) -> usize {
         match self.client.state.get() {
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -339,14 +339,20 @@
             let in_flight = InFlight(client); // lives until the last byte of a streamed response
             Ok(keep_alive_until_sent(response, in_flight))
         }
-        Err(reject) => {
-            if let client::Reject::Framing(form) = reject {
-                control.on_malformed_request(form);
-            }
-            client.on_request_rejected();
-            Ok(client::buffered(client::rejection(&reject)))
-        }
+        Err(reject) => Ok(reject_request(&control, &client, &reject)),
+    }
+}
+
+fn reject_request(
+    control: &AcceptControl,
+    client: &Rc<Client>,
+    reject: &client::Reject,
+) -> Response<ResponseContent> {
+    if let client::Reject::Framing(form) = reject {
+        control.on_malformed_request(*form);
     }
+    client.on_request_rejected();
+    client::buffered(client::rejection(reject))
 }
 
 /// Whether the connection is to be closed after the response.
