Don't execute an id again after its client has left, and send nothing for clients that left unread

Cause: the table of open ids forgets an id with the verdict, while its attempt may have run; nothing of it is handed over at an upgrade. And a close is seen only once the bytes before it were read.

Before the first byte of an attempt is written, the system is asked whether the client has closed.

--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -2,6 +2,7 @@
 //! it.
 
 use crate::bodies::{IncompleteResponse, Pieces, RequestBody, ResponseBody};
+use crate::clients::Client;
 use crate::memory::Reservation;
 use actix_http::body::{BodySize, MessageBody};
 use actix_http::header::{HeaderMap, HeaderValue};
@@ -58,6 +59,24 @@
     pub payload: Rc<Payload>,
     /// The memory of the request until its response was sent.
     pub open_request: Reservation,
+    /// Tells whether the client still waits.
+    pub client: ClientCheck,
+}
+
+/// Tells whether the client of a request has left.
+#[derive(Clone, Default)]
+pub struct ClientCheck(Option<Rc<Client>>);
+
+impl ClientCheck {
+    /// Creates the check of a client.
+    pub fn of(client: &Rc<Client>) -> ClientCheck {
+        ClientCheck(Some(client.clone()))
+    }
+
+    /// Whether the client has closed its connection, whether or not that was read.
+    pub fn has_left(&self) -> bool {
+        self.0.as_ref().is_some_and(|client| client.has_left())
+    }
 }
 
 /// The attributes of a request that routing rules match.
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -24,10 +24,10 @@
 };
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, Waker, ready};
 use std::time::{Duration, Instant};
-pub use stream::{Connection, Stream};
+pub use stream::{Connection, PeerSocket, Stream};
 use tokio::sync::Notify;
 
 /// Maximum time from the first byte of a request head to its end. For the first request on a connection, the
@@ -152,6 +152,8 @@
     response_ends_with_connection: Cell<bool>,
     /// Wakes the task that serves the connection.
     task: RefCell<Option<Waker>>,
+    /// The socket, once there is one.
+    socket: RefCell<Option<Weak<dyn PeerSocket>>>,
     /// How much may be read before there is memory for more.
     allowance: Rc<ReadAllowance>,
     /// What has arrived at this machine.
@@ -198,6 +200,7 @@
             close_state: Cell::new(None),
             response_ends_with_connection: Cell::new(false),
             task: RefCell::default(),
+            socket: RefCell::default(),
             allowance: Rc::new(ReadAllowance::new(SHORT_MESSAGE_BYTES)),
             incoming: Incoming::new(Instant::now()),
             head_memory: HeadMemory::default(),
@@ -540,6 +543,17 @@
         self.peer_closed.get()
     }
 
+    /// Sets the socket of the connection.
+    pub fn set_socket(&self, socket: Weak<dyn PeerSocket>) {
+        *self.socket.borrow_mut() = Some(socket);
+    }
+
+    /// Whether the client has closed the connection, even if bytes before its end were not read.
+    pub fn has_left(&self) -> bool {
+        let socket = self.socket.borrow().as_ref().and_then(Weak::upgrade);
+        self.peer_closed.get() || socket.is_some_and(|socket| socket.is_closed_by_peer())
+    }
+
     /// Waits until the client closes the connection or the stream fails.
     pub async fn wait_for_peer_close(&self) {
         while !self.peer_closed.get() {
--- a/crates/proxy/src/clients/stream.rs
+++ b/crates/proxy/src/clients/stream.rs
@@ -25,6 +25,7 @@
 use actix_rt::net::{ActixStream, Ready};
 use bytes::{Buf, BytesMut};
 use futures_util::FutureExt;
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
@@ -67,6 +68,13 @@
     }
 }
 
+/// A socket whose other end may have been closed.
+pub trait PeerSocket {
+    /// Whether the other end was closed or the connection failed. Asks the system, which tells it even if bytes
+    /// before the end were not read.
+    fn is_closed_by_peer(&self) -> bool;
+}
+
 /// One connection, shared between the HTTP library and the task that closes it.
 pub struct Connection<S = TcpStream> {
     stream: RefCell<S>,
@@ -440,6 +448,16 @@
     }
 }
 
+impl<S: ClientSocket> PeerSocket for Connection<S> {
+    fn is_closed_by_peer(&self) -> bool {
+        let stream = self.stream.borrow();
+        let mut polled = [PollFd::new(stream.tcp(), PollFlags::RDHUP)];
+        let closed = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        let is_ready = poll(&mut polled, Some(&Timespec::default())).is_ok_and(|ready| ready > 0);
+        is_ready && polled[0].revents().intersects(closed)
+    }
+}
+
 impl<S: ClientSocket> AsyncRead for Stream<S> {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         self.0.poll_read(cx, buf)
--- a/crates/proxy/src/clusters/mod.rs
+++ b/crates/proxy/src/clusters/mod.rs
@@ -22,6 +22,7 @@
 use crate::console::request::{AdminError, AdminRequest};
 use crate::hot_restart::State;
 use crate::stages::cluster_selection::Routes;
+use crate::stages::recent_ids::RecentIds;
 use crate::stats::Pool;
 use olivecart_membership::ClusterName;
 use slog::Logger;
@@ -91,6 +92,7 @@
             list: platform_cluster.map(|runtime| runtime.serialized_list()),
             clock: Some(self.shared.clock.reading(&SystemClocks)),
             list_complete_at: platform_cluster.and_then(|runtime| runtime.list_complete_at()),
+            request_ids: Some(self.shared.request_table.recent_ids().all()),
             ..State::default()
         };
         for runtime in self.runtimes() {
@@ -102,6 +104,11 @@
         state
     }
 
+    /// Calls `action` with the ids of requests that may have been executed.
+    pub fn recent_ids(&self, action: impl FnOnce(&RecentIds)) {
+        action(self.shared.request_table.recent_ids());
+    }
+
     /// Sets the limit on connections to endpoints.
     pub fn limit_connections(&self, max_connections: usize) {
         self.shared.descriptors.set_limit(max_connections);
--- a/crates/proxy/src/clusters/start.rs
+++ b/crates/proxy/src/clusters/start.rs
@@ -11,6 +11,7 @@
 use crate::membership::ListUpdate;
 use crate::memory::MemoryAccountant;
 use crate::platform::registry;
+use crate::stages::recent_ids::IdDigest;
 use crate::stats::Stats;
 use olivecart_decisions::LearnedState;
 use olivecart_membership::ClusterSettings;
@@ -20,6 +21,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Instant;
 
 /// The parameters of [`Clusters::start`].
 pub struct ClustersConfig {
@@ -76,6 +78,9 @@
                 start_times: inherited.start_times,
             },
         });
+        for digest in inherited.request_ids.into_iter().flatten() {
+            shared.request_table.recent_ids().remember(IdDigest(digest), Instant::now());
+        }
         let Routing { clusters: routed, rules, overrides } = config.routing;
         let mut clusters = Clusters {
             routes: Rc::new(routes(&routed, rules)),
--- a/crates/proxy/src/hot_restart/message.rs
+++ b/crates/proxy/src/hot_restart/message.rs
@@ -23,6 +23,9 @@
     Hello {
         /// [`PROTOCOL_VERSION`].
         protocol: u32,
+        /// Whether it understands [`Message::RequestId`], as builds do that send this field.
+        #[serde(default)]
+        takes_request_ids: bool,
     },
     /// Everything the successor needs besides the listening socket, which is passed with the first byte of
     /// this line.
@@ -33,6 +36,8 @@
     Detach(String),
     /// An endpoint was attached by an operator.
     Attach(String),
+    /// A request with an id of this digest is about to be executed.
+    RequestId(u64),
 }
 
 /// The state that a process hands over to its successor.
@@ -61,6 +66,10 @@
     /// Endpoints whose effective start time differs from the one in the endpoint list.
     #[serde(default)]
     pub start_times: BTreeMap<String, StartTime>,
+    /// The digests of the ids of requests that may have been executed. `None` from builds that don't understand
+    /// [`Message::RequestId`].
+    #[serde(default)]
+    pub request_ids: Option<Vec<u64>>,
 }
 
 impl From<ManualChange> for Message {
--- a/crates/proxy/src/hot_restart/mod.rs
+++ b/crates/proxy/src/hot_restart/mod.rs
@@ -13,6 +13,7 @@
 use self::state_machine::{Action, Event, ManualChange, Peer, RestartState};
 use crate::accept::Acceptor;
 use crate::interrupted::Uninterrupted;
+use crate::stages::recent_ids::IdDigest;
 use message::{MAX_LINE_BYTES, Message, PROTOCOL_VERSION};
 use rustix::io::retry_on_intr;
 use rustix::net::{
@@ -20,7 +21,7 @@
     SendFlags, recvmsg, sendmsg,
 };
 use slog::{Logger, info, warn};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io::{self, IoSlice, IoSliceMut, Write};
 use std::mem::MaybeUninit;
 use std::net::{SocketAddr, TcpListener};
@@ -60,6 +61,7 @@
 pub struct PeerConnection {
     stream: BlockingStream,
     read_ahead: Vec<u8>,
+    takes_request_ids: bool,
 }
 
 /// Everything a predecessor hands over.
@@ -84,6 +86,8 @@
     fn share_limits(&self, processes: u32);
     /// Detaches or attaches an endpoint.
     fn apply_change(&self, change: &ManualChange);
+    /// Records that the other process executes a request.
+    fn remember_request_id(&self, id: IdDigest);
 }
 
 /// Returns the path of the Unix socket where the process that serves an address listens for its successor.
@@ -100,7 +104,9 @@
     let incompatible = |reason: String| TakeOverError::Incompatible(path.to_owned(), reason);
     let mut stream = BlockingStream::connect(path).map_err(io_error)?;
     stream.set_write_timeout(Some(HANDOVER_TIMEOUT)).map_err(io_error)?;
-    stream.write_all(&Message::Hello { protocol: PROTOCOL_VERSION }.to_line()).map_err(io_error)?;
+    stream
+        .write_all(&Message::Hello { protocol: PROTOCOL_VERSION, takes_request_ids: true }.to_line())
+        .map_err(io_error)?;
     let deadline = Instant::now() + HANDOVER_TIMEOUT;
     let mut received = Vec::new();
     let mut listener = None;
@@ -126,8 +132,8 @@
     match (serde_json::from_slice(&received), listener) {
         (Ok(Message::State(state)), Some(listener)) if state.protocol == PROTOCOL_VERSION => Ok(Handover {
             listener: listener.into(),
+            connection: PeerConnection { stream, read_ahead, takes_request_ids: state.request_ids.is_some() },
             state: *state,
-            connection: PeerConnection { stream, read_ahead },
         }),
         (Ok(_), _) => Err(incompatible("unexpected message or protocol version, or no socket".into())),
         (Err(e), _) => Err(incompatible(e.to_string())),
@@ -160,6 +166,8 @@
     accept_task: RefCell<Option<JoinHandle<()>>>,
     /// The queues of messages to the predecessor and the successor, indexed by [`Peer`].
     queues: RefCell<[Option<mpsc::Sender<Message>>; 2]>,
+    /// Whether the predecessor and the successor understand ids of requests.
+    takes_request_ids: Cell<[bool; 2]>,
     log: Logger,
 }
 
@@ -178,6 +186,7 @@
             path,
             accept_task: RefCell::default(),
             queues: RefCell::default(),
+            takes_request_ids: Cell::default(),
             log,
         });
         if let Some(predecessor) = predecessor {
@@ -187,7 +196,9 @@
         hot_restart
     }
 
-    fn connect_predecessor(self: &Rc<Self>, PeerConnection { stream, read_ahead }: PeerConnection) {
+    fn connect_predecessor(self: &Rc<Self>, connection: PeerConnection) {
+        let PeerConnection { stream, read_ahead, takes_request_ids } = connection;
+        self.set_takes_request_ids(Peer::Predecessor, takes_request_ids);
         match stream.set_nonblocking(true).and_then(|()| UnixStream::from_std(stream)) {
             Ok(stream) => {
                 let queue = self.open_queue(Peer::Predecessor);
@@ -208,6 +219,25 @@
         self.state.borrow().is_replaced()
     }
 
+    /// Tells the other processes that a request is about to be executed here. If they are so slow that many messages
+    /// wait, this one is not sent: the connection to them is worth more.
+    pub fn on_request_id(&self, id: IdDigest) {
+        for (queue, takes_request_ids) in self.queues.borrow().iter().zip(self.takes_request_ids.get()) {
+            if let Some(queue) = queue
+                && takes_request_ids
+                && queue.capacity() > MAX_QUEUED_MESSAGES / 2
+            {
+                let _ = queue.try_send(Message::RequestId(id.0)); // has room
+            }
+        }
+    }
+
+    fn set_takes_request_ids(&self, peer: Peer, takes_request_ids: bool) {
+        let mut both = self.takes_request_ids.get();
+        both[peer as usize] = takes_request_ids;
+        self.takes_request_ids.set(both);
+    }
+
     /// Records that this process is ready to serve.
     pub fn on_ready(self: &Rc<Self>) {
         self.handle(Event::Ready);
@@ -274,9 +304,11 @@
         let mut line = Vec::new();
         let hello = Uninterrupted(&mut stream).take(MAX_LINE_BYTES as u64);
         timeout(HANDOVER_TIMEOUT, BufReader::new(hello).read_until(b'\n', &mut line)).await??;
-        if !matches!(serde_json::from_slice(&line), Ok(Message::Hello { protocol: PROTOCOL_VERSION })) {
+        let Ok(Message::Hello { protocol: PROTOCOL_VERSION, takes_request_ids }) =
+            serde_json::from_slice(&line)
+        else {
             return Err(io::Error::other("unsupported hello message or protocol version"));
-        }
+        };
         let actions = self.state.borrow_mut().handle(Event::SuccessorConnected);
         if actions.contains(&Action::RejectSuccessor) {
             return Err(io::Error::other("another successor is already connected"));
@@ -284,6 +316,7 @@
         // A manual change that is made while the state is sent is not part of it. The queue keeps it until
         // the state is sent.
         let queue = self.open_queue(Peer::Successor);
+        self.set_takes_request_ids(Peer::Successor, takes_request_ids);
         self.perform(actions);
         let sent = timeout(HANDOVER_TIMEOUT, self.send_state(&mut stream)).await;
         if let Err(e) = sent.unwrap_or_else(|elapsed| Err(elapsed.into())) {
@@ -356,6 +389,10 @@
                     self.handle(Event::SuccessorReady);
                     continue;
                 }
+                Ok(Message::RequestId(digest)) => {
+                    self.host.remember_request_id(IdDigest(digest));
+                    continue;
+                }
                 Ok(Message::Detach(target)) => ManualChange::Detach(target),
                 Ok(Message::Attach(target)) => ManualChange::Attach(target),
                 Ok(_) => return io::Error::other("unexpected message"),
--- a/crates/proxy/src/hot_restart/tests.rs
+++ b/crates/proxy/src/hot_restart/tests.rs
@@ -19,6 +19,7 @@
     fn set_accepting(&self, _: bool) {}
     fn share_limits(&self, _: u32) {}
     fn apply_change(&self, _: &ManualChange) {}
+    fn remember_request_id(&self, _: IdDigest) {}
 }
 
 #[test]
@@ -30,7 +31,7 @@
         let hot_restart = HotRestart::start(host.clone(), path.clone(), None, log);
         host.0.replace(Rc::downgrade(&hot_restart));
         let first_line = tokio::task::spawn_blocking(move || {
-            let PeerConnection { stream, read_ahead } = take_over(&path).expect("handover").connection;
+            let PeerConnection { stream, read_ahead, .. } = take_over(&path).expect("handover").connection;
             let _ = std::fs::remove_file(&path);
             let mut line = String::new();
             io::BufReader::new(io::Read::chain(read_ahead.as_slice(), stream))
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -9,7 +9,7 @@
 use crate::accept::{Accept, Acceptor};
 use crate::bodies::ResponseBody;
 use crate::call::{Body, Call, ResponseContent, Verdict};
-use crate::clients::{Client, Clients, Connection, RequestBody, Stream};
+use crate::clients::{Client, Clients, Connection, PeerSocket, RequestBody, Stream};
 use crate::config::Sockets;
 use crate::framing::{self, BodyFraming, FramingError, Side};
 use crate::latency::LatencyEstimate;
@@ -240,6 +240,8 @@
         };
         let _ = stream.set_nodelay(true); // a failure only adds latency
         let connection = Rc::new(Connection::new(stream, control.clients.register()));
+        let socket: Rc<dyn PeerSocket> = connection.clone();
+        connection.client().set_socket(Rc::downgrade(&socket));
         actix_rt::spawn(serve_connection(service.clone(), control.clone(), connection, peer));
     }
 }
--- a/crates/proxy/src/platform/client.rs
+++ b/crates/proxy/src/platform/client.rs
@@ -42,8 +42,8 @@
     /// No memory for a long body became free in time.
     #[error("no room for a body of this length")]
     NoRoom,
-    /// Another request with this id is open.
-    #[error("a request with this id is open")]
+    /// Another request with this id is open, or may have been executed.
+    #[error("a request with this id is open or may have run")]
     DuplicateId,
 }
 
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -98,6 +98,9 @@
         ServingProcess::new(control.clone(), clusters.clone(), kept_listener, limits, memory.clone());
     let process = Rc::new(process);
     let hot_restart = path.map(|path| HotRestart::start(process.clone(), path, connection, log.clone()));
+    if let Some(hot_restart) = hot_restart.clone() {
+        clusters.recent_ids(|ids| ids.set_listener(move |id| hot_restart.on_request_id(id)));
+    }
     if let (Some(console), Some(stats)) = (console, stats) {
         let admin_state = AdminState {
             stats,
--- a/crates/proxy/src/stages/admission.rs
+++ b/crates/proxy/src/stages/admission.rs
@@ -41,7 +41,7 @@
     LimitReached,
     /// Operators detached every endpoint that could take it.
     AllDetached,
-    /// Another request with the same id is open.
+    /// Another request with the same id is open, or may have been executed.
     DuplicateId,
 }
 
@@ -61,8 +61,10 @@
         Body::Streamed(upload) => Some(upload.clone()),
         Body::Buffered { .. } => None,
     };
-    let (request, verdict) =
-        context.request_table.open(call.id, call.payload, deadline).ok_or(AdmissionError::DuplicateId)?;
+    let (request, verdict) = {
+        let opened = context.request_table.open(call.id, call.payload, deadline, call.client);
+        opened.ok_or(AdmissionError::DuplicateId)?
+    };
     context.on_request_opened();
     let guard = OpenRequestGuard { context: context.clone(), request };
     context.report(Event::RequestArrived(Request {
--- a/crates/proxy/src/stages/admission/tests.rs
+++ b/crates/proxy/src/stages/admission/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use crate::backends::Backends;
-use crate::call::{Body, Payload};
+use crate::call::{Body, ClientCheck, Payload};
 use crate::descriptors::Descriptors;
 use crate::memory::{MemoryAccountant, Owner};
 use crate::stages::context::{EventSink, Limits};
@@ -40,6 +40,7 @@
         deadline: Instant::now() + Duration::from_secs(60),
         authority: None,
         payload: Rc::new(Payload { method: Method::GET, target: None, headers, body }),
+        client: ClientCheck::default(),
         open_request: memory.try_reserve(Owner::OpenRequests, 1).expect("the first one"),
     }
 }
--- a/crates/proxy/src/stages/attempt/tests.rs
+++ b/crates/proxy/src/stages/attempt/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::backends::Backends;
+use crate::call::ClientCheck;
 use crate::connect::{Connect, Connecting};
 use crate::descriptors::Descriptors;
 use crate::stages::context::{EventSink, Limits};
@@ -83,8 +84,11 @@
         let body = Body::Buffered { bytes: Bytes::new(), _reservation: None };
         let payload = Rc::new(Payload { method: Method::GET, target: None, headers: HeaderMap::new(), body });
         let deadline = Instant::now() + time_left;
-        let (request, _) =
-            self.context.request_table.open(HeaderValue::from_static(id), payload, deadline).expect("opened");
+        let (request, _) = self
+            .context
+            .request_table
+            .open(HeaderValue::from_static(id), payload, deadline, ClientCheck::default())
+            .expect("opened");
         let (attempt, _) = self.context.request_table.start_attempt(request, deadline);
         attempt.unwrap_or_else(|_| panic!("the request is open"))
     }
--- a/crates/proxy/src/stages/mod.rs
+++ b/crates/proxy/src/stages/mod.rs
@@ -15,6 +15,7 @@
 mod endpoint_response;
 pub mod parse;
 pub mod received_request;
+pub mod recent_ids;
 pub mod request_table;
 pub mod response;
 mod response_start;
--- a/crates/proxy/src/stages/parse.rs
+++ b/crates/proxy/src/stages/parse.rs
@@ -8,7 +8,7 @@
     BufferedBody, MAX_BUFFERED_BYTES, RequestBody, RequestClock, SENT_BODY_BUFFERS_BYTES,
     STREAMED_BODY_MEMORY,
 };
-use crate::call::{Body, Call};
+use crate::call::{Body, Call, ClientCheck};
 use crate::clients::Client;
 use crate::framing::BodyFraming;
 use crate::memory::{
@@ -81,7 +81,8 @@
     let tenant = tenant.map(|t| TenantId(t as u16));
     let authority = request.head().uri.authority().cloned(); // None for most requests
     let payload = Rc::new(client::payload(request.take_head(), body));
-    Ok(Call { id: fields.id, class, tenant, retry: fields.retry, deadline, authority, payload, open_request })
+    let (id, retry, client) = (fields.id, fields.retry, ClientCheck::of(client));
+    Ok(Call { id, class, tenant, retry, deadline, authority, payload, open_request, client })
 }
 
 /// Returns when the client stops waiting. The time runs from the last byte at this machine, which may have waited
--- a/crates/proxy/src/stages/request_table.rs
+++ b/crates/proxy/src/stages/request_table.rs
@@ -1,6 +1,7 @@
 //! The open requests: one verdict for each request, one outcome for each attempt.
 
-use crate::call::{EndpointResponse, Payload, Verdict};
+use super::recent_ids::RecentIds;
+use crate::call::{ClientCheck, EndpointResponse, Payload, Verdict};
 use crate::invariant::check_invariant;
 use actix_http::header::HeaderValue;
 use olivecart_decisions::RequestId;
@@ -34,6 +35,7 @@
     verdict: Option<oneshot::Sender<Verdict>>,
     attempts: Vec<Option<oneshot::Sender<()>>>,
     in_flight: u32,
+    client: ClientCheck,
 }
 
 /// All requests. An entry is kept until the request has a verdict and none of its attempts is in flight.
@@ -42,6 +44,8 @@
     entries: RefCell<FxHashMap<RequestId, Entry>>,
     /// The ids of the requests without a verdict.
     open_ids: RefCell<FxHashSet<HeaderValue>>,
+    /// The ids of requests that may have been executed.
+    recent_ids: RecentIds,
     next_id: Cell<u64>,
 }
 
@@ -51,20 +55,34 @@
         self.open_ids.borrow().len()
     }
 
-    /// Opens a request. Returns `None` if a request with the same id has no verdict yet.
+    /// The ids of requests that may have been executed.
+    pub fn recent_ids(&self) -> &RecentIds {
+        &self.recent_ids
+    }
+
+    /// Opens a request. Returns `None` if a request with the same id has no verdict yet, or may have been executed
+    /// and must not be again.
     pub fn open(
         &self,
         id: HeaderValue,
         payload: Rc<Payload>,
         deadline: Instant,
+        client: ClientCheck,
     ) -> Option<(RequestId, oneshot::Receiver<Verdict>)> {
-        if !self.open_ids.borrow_mut().insert(id.clone()) {
+        if self.recent_ids.contains(&id, Instant::now()) || !self.open_ids.borrow_mut().insert(id.clone()) {
             return None;
         }
         let (sender, verdict) = oneshot::channel();
         let request = RequestId(self.next_id.replace(self.next_id.get() + 1));
-        let entry =
-            Entry { id, payload, deadline, verdict: Some(sender), attempts: Vec::new(), in_flight: 0 };
+        let entry = Entry {
+            id,
+            payload,
+            deadline,
+            verdict: Some(sender),
+            attempts: Vec::new(),
+            in_flight: 0,
+            client,
+        };
         self.entries.borrow_mut().insert(request, entry);
         Some((request, verdict))
     }
@@ -82,12 +100,16 @@
             return (Err(number), is_only);
         }
         let (payload, deadline) = (entry.payload.clone(), entry.deadline);
+        if !payload.method.is_safe() {
+            self.recent_ids.on_attempt(&entry.id, Instant::now());
+        }
         (Ok(Attempt { request, number, payload, deadline, start_by, cancelled }), is_only)
     }
 
-    /// Whether a request has no verdict yet, so that its client waits for a response.
-    pub fn is_open(&self, request: RequestId) -> bool {
-        self.entries.borrow().get(&request).is_some_and(|entry| entry.verdict.is_some())
+    /// Whether a request has no verdict yet and its client waits for a response.
+    pub fn is_awaited(&self, request: RequestId) -> bool {
+        let entries = self.entries.borrow();
+        entries.get(&request).is_some_and(|entry| entry.verdict.is_some() && !entry.client.has_left())
     }
 
     /// Cancels an attempt.
--- a/crates/proxy/src/stages/write_check.rs
+++ b/crates/proxy/src/stages/write_check.rs
@@ -86,7 +86,7 @@
 
     fn check_at(&self, now: Instant) -> Result<(), WriteRejected> {
         let head_age = self.head_built_at.get().map(|at| now.saturating_duration_since(at));
-        if !self.context.request_table.is_open(self.request) {
+        if !self.context.request_table.is_awaited(self.request) {
             Err(WriteRejected::RequestEnded(self.request))
         } else if !self.context.backends.still_takes_requests(self.target) {
             Err(WriteRejected::EndpointUnavailable(self.target))
--- a/crates/proxy/src/stages/write_check/tests.rs
+++ b/crates/proxy/src/stages/write_check/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::backends::Backends;
+use crate::call::ClientCheck;
 use crate::call::{Body, Payload, Verdict};
 use crate::descriptors::Descriptors;
 use crate::stages::context::{EventSink, Limits};
@@ -36,8 +37,10 @@
     let (headers, body) = (HeaderMap::new(), Body::Buffered { bytes: Bytes::new(), _reservation: None });
     let payload = Rc::new(Payload { method: Method::GET, target: None, headers, body });
     let deadline = Instant::now() + Duration::from_secs(600);
-    let (request, _) =
-        context.request_table.open(HeaderValue::from_static("r"), payload, deadline).expect("opened");
+    let (request, _) = context
+        .request_table
+        .open(HeaderValue::from_static("r"), payload, deadline, ClientCheck::default())
+        .expect("opened");
     (context, request)
 }
 
