Pass on responses whose endpoints pause, where no other endpoint may answer

Cause: a response that has begun and makes no progress for 1 s is given up, so that another endpoint may answer; also where none is asked, because the request must not run twice or the second endpoint stalls as the first did.

Change: such a response is waited for, and what may be long is passed on 0.9 s after its head; one in chunks that comes without such pauses 2 s after its head. While it is at most 64 KiB long, it is given up 2 s after its last byte once its deadline is over.

--- a/crates/proxy/src/stages/endpoint_response.rs
+++ b/crates/proxy/src/stages/endpoint_response.rs
@@ -1,9 +1,9 @@
 //! Receives an endpoint's response, or the start of a long one, and forwards the rest of that.
 
 use super::context::Context;
-use super::response_start::{ResponseStart, StartReader};
+use super::response_start::{Patience, ResponseStart, StartReader};
 use crate::backends::Lease;
-use crate::bodies::{BodySender, Pieces, body_channel};
+use crate::bodies::{BodySender, MAX_BUFFERED_BYTES, Pieces, body_channel};
 use crate::call::ResponseContent;
 use crate::framing::BodyFraming;
 use crate::platform::backend;
@@ -14,12 +14,15 @@
 use awc::error::PayloadError;
 use futures_util::StreamExt;
 use olivecart_decisions::Outcome;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::time::timeout;
 
 /// A long body is given up if neither side makes progress for this time.
 pub const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The same for a response of at most [`MAX_BUFFERED_BYTES`] so far, once its request's deadline has passed.
+const SHORT_BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// The remainder of a response whose start was already forwarded.
 pub struct ResponseRemainder {
     sender: BodySender,
@@ -54,6 +57,7 @@
     context: &Context,
     lease: Lease,
     mut response: ClientResponse,
+    patience: Patience,
 ) -> Result<(Head, ResponseContent, Option<Box<ResponseRemainder>>), Outcome> {
     let monitor = lease.monitor.clone();
     let framing = monitor.framing();
@@ -63,7 +67,7 @@
     let received = async {
         let head = Head::of(&response);
         let is_final = backend::is_final(head.status);
-        let reader = StartReader::new(&context.memory, framing.length(), is_final);
+        let reader = StartReader::new(&context.memory, framing.length(), is_final, patience);
         let start = reader.read(&mut response).await.map_err(|e| outcome_of_body_error(&e, &monitor))?;
         if !start.has_more {
             check_complete(&monitor, start.received_bytes)?;
@@ -75,7 +79,7 @@
     let (head, start) = tokio::select! {
         biased;
         received = received => received?,
-        () = monitor.wait_until_stalled() => return Err(Outcome::Error),
+        () = monitor.wait_until_stalled(), if patience == Patience::Stalled => return Err(Outcome::Error),
     };
     let closes_connection = has_unread_payload || head.closes_connection();
     let ResponseStart { bytes, received_bytes, has_more, reservation } = start;
@@ -92,13 +96,18 @@
     Ok((head, ResponseContent::Streamed(download), Some(remainder)))
 }
 
-/// Forwards the remainder of a response as fast as the client reads it.
-pub async fn forward_remainder(context: &Context, remainder: ResponseRemainder) -> Outcome {
+/// Forwards the remainder of a response as fast as the client reads it. A response that may still turn out to be short
+/// is due at `deadline`: it is given up then if it makes no progress.
+pub async fn forward_remainder(
+    context: &Context,
+    remainder: ResponseRemainder,
+    deadline: Instant,
+) -> Outcome {
     let ResponseRemainder { sender, lease, mut response, closes_connection, mut received_bytes } = remainder;
     let (monitor, target) = (lease.monitor.clone(), lease.target);
     let forwarding = async {
         loop {
-            let chunk = match timeout(BODY_IDLE_TIMEOUT, response.next()).await {
+            let chunk = match timeout(idle_timeout(received_bytes, deadline), response.next()).await {
                 Err(_) => return Outcome::Timeout,
                 Ok(Some(Err(e))) => return outcome_of_body_error(&e, &monitor),
                 Ok(Some(Ok(chunk))) => chunk,
@@ -128,6 +137,15 @@
     outcome
 }
 
+/// How long the next bytes of a response are waited for.
+fn idle_timeout(received_bytes: u64, deadline: Instant) -> Duration {
+    if received_bytes > MAX_BUFFERED_BYTES as u64 {
+        return BODY_IDLE_TIMEOUT;
+    }
+    let left = deadline.saturating_duration_since(Instant::now());
+    left.max(SHORT_BODY_IDLE_TIMEOUT).min(BODY_IDLE_TIMEOUT)
+}
+
 /// Returns the outcome of an attempt whose response body can't be read to its end.
 fn outcome_of_body_error(_: &PayloadError, monitor: &ResponseMonitor) -> Outcome {
     if monitor.is_malformed() { Outcome::Error } else { Outcome::Reset }
--- a/crates/proxy/src/stages/response_start.rs
+++ b/crates/proxy/src/stages/response_start.rs
@@ -14,6 +14,21 @@
 /// this time is forwarded as well: what was received of it is not held back for others.
 const MAX_BUFFERING_TIME: Duration = Duration::from_millis(250);
 
+/// The same for a response of which it is not known whether it is long.
+const MAX_UNKNOWN_BUFFERING_TIME: Duration = Duration::from_millis(2000);
+/// The same if the request would not be sent to another endpoint: its endpoint is waited for. Less than the time after
+/// which a response counts as stalled.
+const MAX_PATIENT_BUFFERING_TIME: Duration = Duration::from_millis(900);
+
+/// Whether a response that makes no progress is given up, because another endpoint may answer the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Patience {
+    /// It is given up.
+    Stalled,
+    /// It is waited for: the request must not run again, or another endpoint stalled before.
+    Patient,
+}
+
 /// What was received of a body.
 pub struct ResponseStart {
     /// The bytes; none of a response that is not forwarded.
@@ -34,19 +49,35 @@
     /// Whether the response is forwarded. The body of any other one is discarded.
     is_forwarded: bool,
     forward_at: Instant,
+    /// When a response is forwarded that may be long.
+    forward_unknown_at: Instant,
+    patience: Patience,
     buffered: BufferedBody,
     reservation: Option<Reservation>,
 }
 
 impl<'a> StartReader<'a> {
     /// Creates a reader for a response whose head has just been received.
-    pub fn new(memory: &'a Rc<MemoryAccountant>, length: Option<u64>, is_forwarded: bool) -> StartReader<'a> {
-        let forward_at = Instant::now() + MAX_BUFFERING_TIME;
+    pub fn new(
+        memory: &'a Rc<MemoryAccountant>,
+        length: Option<u64>,
+        is_forwarded: bool,
+        patience: Patience,
+    ) -> StartReader<'a> {
+        let now = Instant::now();
+        let forward_at = now + MAX_BUFFERING_TIME;
+        let forward_unknown_at = now
+            + match patience {
+                Patience::Stalled => MAX_UNKNOWN_BUFFERING_TIME,
+                Patience::Patient => MAX_PATIENT_BUFFERING_TIME,
+            };
         StartReader {
             memory,
             length,
             is_forwarded,
             forward_at,
+            forward_unknown_at,
+            patience,
             buffered: BufferedBody::default(),
             reservation: None,
         }
@@ -73,6 +104,9 @@
                 () = sleep_until(self.forward_at), if self.is_long_and_started() => {
                     return Ok(self.finish(true));
                 }
+                () = sleep_until(self.forward_unknown_at), if self.may_be_long() => {
+                    return Ok(self.finish(true));
+                }
             };
             let Some(chunk) = chunk else { return Ok(self.finish(false)) };
             self.buffered.push(chunk?);
@@ -87,6 +121,12 @@
         self.length.is_some_and(|length| length > MAX_BUFFERED_BYTES as u64) && self.buffered.len() > 0
     }
 
+    /// Whether the response is not known to be short, and is waited for or has begun.
+    fn may_be_long(&self) -> bool {
+        let is_short = self.length.is_some_and(|length| length <= MAX_BUFFERED_BYTES as u64);
+        !is_short && (self.patience == Patience::Patient || self.buffered.len() > 0)
+    }
+
     /// Whether the next chunk may exceed what a connection has memory for. What is in the read buffer already
     /// needs no more memory.
     fn needs_reservation(&self) -> bool {
--- a/crates/proxy/tests/departed_clients.rs
+++ b/crates/proxy/tests/departed_clients.rs
@@ -50,7 +50,7 @@
         )
     };
     let old = site.start_ready();
-    let mut send = |id: &str| {
+    let send = |id: &str| {
         let mut link = TcpStream::connect(site.listen).expect("connected");
         link.set_read_timeout(Some(STEP_TIMEOUT)).expect("set");
         link.write_all(text(id).as_bytes()).expect("sent");
