Log who holds memory when it is short

Now it says every 10 s, while memory is short, what each owner holds, what the allocator counts, and how much waits.

--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -27,7 +27,7 @@
 use actix_http::{ConnectionType, Extensions, HttpService, KeepAlive, Request, Response, Version};
 use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
 use olivecart_settings::Site;
-use slog::{Logger, debug, warn};
+use slog::{Logger, debug, info, warn};
 use std::any::Any;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
@@ -51,6 +51,8 @@
 pub const TIMEOUT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// The library takes no more of a response's body while this many bytes wait to be written.
 const WRITE_BUFFER_BYTES: usize = 16 * 1024;
+/// Minimum time between two log lines about a shortage of memory.
+const MEMORY_LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Maximum number of connections in the listen queue.
 const BACKLOG: u32 = 1024;
 
@@ -194,6 +196,15 @@
         self.stats.iter().for_each(|stats| stats.rejected_forms().count(Side::Client, form));
     }
 
+    /// Logs who holds how much memory. A process that is killed for its memory writes nothing more.
+    fn log_memory(&self) {
+        let memory = self.clients.memory();
+        let (waits, given_up) = memory.waits();
+        info!(self.log, "memory is short"; "given_up" => given_up, "waits" => waits,
+            "in_flight" => self.clients.in_flight(), "connections" => self.clients.open(),
+            "assignable" => memory.assignable(), "allocated" => memory.allocated(), "held" => %memory.usage());
+    }
+
     /// The number of open connections.
     pub fn connections(&self) -> usize {
         self.clients.open()
@@ -225,7 +236,7 @@
         Ok(service) => Rc::new(service),
         Err(NoHttpService) => return warn!(control.log, "HTTP service failed to start"),
     };
-    actix_rt::spawn(enforce_timeouts(control.clients.clone()));
+    actix_rt::spawn(enforce_timeouts(control.clone()));
     let mut acceptor = Acceptor::new(listener, "clients", control.log.clone());
     let mut accepting = control.accepting.subscribe();
     loop {
@@ -301,12 +312,19 @@
     control.clients.unregister(&client);
 }
 
-async fn enforce_timeouts(clients: Rc<Clients>) {
+async fn enforce_timeouts(control: Rc<AcceptControl>) {
     let mut interval = tokio::time::interval(TIMEOUT_CHECK_INTERVAL);
+    let mut logged_at: Option<Instant> = None;
     loop {
         interval.tick().await;
-        clients.close_expired();
-        clients.evict_for_waiting_requests();
+        control.clients.close_expired();
+        control.clients.evict_for_waiting_requests();
+        if control.clients.memory().is_short()
+            && logged_at.is_none_or(|at| at.elapsed() >= MEMORY_LOG_INTERVAL)
+        {
+            logged_at = Some(Instant::now());
+            control.log_memory();
+        }
     }
 }
 
