--- a/crates/proxy/tests/load/mod.rs
+++ b/crates/proxy/tests/load/mod.rs
@@ -292,7 +292,7 @@
         let watching = spawn(move || {
             let mut peak = 0;
             while !stopped.load(SeqCst) {
-                peak = peak.max(anonymous_bytes(process).expect("it runs"));
+                peak = peak.max(resident_bytes(process).expect("it runs"));
                 yield_now();
             }
             peak
@@ -308,7 +308,7 @@
 }
 
 /// The resident memory of a process without its program, in bytes. `None` if it has ended.
-fn anonymous_bytes(process: u32) -> Option<usize> {
+pub fn resident_bytes(process: u32) -> Option<usize> {
     let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
     let kilobytes = |name| {
         let line = status.lines().find_map(|line| line.strip_prefix(name))?;
