--- a/crates/proxy/src/clients/stream.rs
+++ b/crates/proxy/src/clients/stream.rs
@@ -25,7 +25,6 @@
 use actix_rt::net::{ActixStream, Ready};
 use bytes::{Buf, BytesMut};
 use futures_util::FutureExt;
-use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
@@ -70,8 +69,8 @@
 
 /// A socket whose other end may have been closed.
 pub trait PeerSocket {
-    /// Whether the other end was closed or the connection failed. Asks the system, which tells it even if bytes
-    /// before the end were not read.
+    /// Whether the other end was closed or the connection failed, as far as the runtime was told: even if bytes before
+    /// the end were not read.
     fn is_closed_by_peer(&self) -> bool;
 }
 
@@ -451,10 +450,8 @@
 impl<S: ClientSocket> PeerSocket for Connection<S> {
     fn is_closed_by_peer(&self) -> bool {
         let stream = self.stream.borrow();
-        let mut polled = [PollFd::new(stream.tcp(), PollFlags::RDHUP)];
-        let closed = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
-        let is_ready = poll(&mut polled, Some(&Timespec::default())).is_ok_and(|ready| ready > 0);
-        is_ready && polled[0].revents().intersects(closed)
+        let ready = stream.tcp().ready(Interest::READABLE).now_or_never();
+        ready.is_some_and(|ready| ready.is_ok_and(|ready| ready.is_read_closed()))
     }
 }
 
