--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -61,6 +61,8 @@
     pub open_request: Reservation,
     /// Tells whether the client still waits.
     pub client: ClientCheck,
+    /// Whether the request is safe to repeat.
+    pub is_repeatable: bool,
 }
 
 /// Tells whether the client of a request has left.
--- a/crates/proxy/src/stages/admission.rs
+++ b/crates/proxy/src/stages/admission.rs
@@ -5,6 +5,7 @@
 //! is already in use. All other admission control is the balancer's.
 
 use super::context::Context;
+use super::request_table::RequestKey;
 use crate::bodies::RequestBody;
 use crate::call::{Body, Call, Verdict};
 use crate::memory::Reservation;
@@ -62,7 +63,8 @@
         Body::Buffered { .. } => None,
     };
     let (request, verdict) = {
-        let opened = context.request_table.open(call.id, call.payload, deadline, call.client);
+        let key = RequestKey { id: call.id, is_repeatable: call.is_repeatable };
+        let opened = context.request_table.open(key, call.payload, deadline, call.client);
         opened.ok_or(AdmissionError::DuplicateId)?
     };
     context.on_request_opened();
--- a/crates/proxy/src/stages/admission/tests.rs
+++ b/crates/proxy/src/stages/admission/tests.rs
@@ -41,6 +41,7 @@
         authority: None,
         payload: Rc::new(Payload { method: Method::GET, target: None, headers, body }),
         client: ClientCheck::default(),
+        is_repeatable: true,
         open_request: memory.try_reserve(Owner::OpenRequests, 1).expect("the first one"),
     }
 }
--- a/crates/proxy/src/stages/attempt/tests.rs
+++ b/crates/proxy/src/stages/attempt/tests.rs
@@ -4,6 +4,7 @@
 use crate::connect::{Connect, Connecting};
 use crate::descriptors::Descriptors;
 use crate::stages::context::{EventSink, Limits};
+use crate::stages::request_table::RequestKey;
 use actix_http::error::ParseError;
 use actix_http::header::HeaderMap;
 use actix_http::header::HeaderValue;
@@ -87,7 +88,12 @@
         let (request, _) = self
             .context
             .request_table
-            .open(HeaderValue::from_static(id), payload, deadline, ClientCheck::default())
+            .open(
+                RequestKey { id: HeaderValue::from_static(id), is_repeatable: true },
+                payload,
+                deadline,
+                ClientCheck::default(),
+            )
             .expect("opened");
         let (attempt, _) = self.context.request_table.start_attempt(request, deadline);
         attempt.unwrap_or_else(|_| panic!("the request is open"))
--- a/crates/proxy/src/stages/parse.rs
+++ b/crates/proxy/src/stages/parse.rs
@@ -18,7 +18,7 @@
 use crate::platform::client::{self, Reject};
 use crate::shutdown_deadline::ShutdownDeadline;
 use futures_util::StreamExt;
-use olivecart_decisions::{ClassId, TenantId};
+use olivecart_decisions::{ClassId, Idempotency, TenantId};
 use olivecart_settings::Site;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -52,13 +52,14 @@
     client: &Rc<Client>,
 ) -> Result<Call, Reject> {
     let fields = client::fields(request.head(), framing)?;
-    let (class, time_left, weight) = {
+    let (class, time_left, weight, is_repeatable) = {
         let site = context.site.borrow();
         let class = site.classes.get(&fields.class).ok_or_else(client::unknown_class)?;
         let settings = &site.settings.classes[class as usize];
         let class_deadline = || Duration::from_nanos(settings.client_deadline);
         let time_left = fields.time_left.unwrap_or_else(class_deadline);
-        (ClassId(class as u16), time_left, settings.priority_weight)
+        let is_repeatable = settings.idempotency == Idempotency::Idempotent;
+        (ClassId(class as u16), time_left, settings.priority_weight, is_repeatable)
     };
     let reader = BodyReader {
         context,
@@ -82,7 +83,7 @@
     let authority = request.head().uri.authority().cloned(); // None for most requests
     let payload = Rc::new(client::payload(request.take_head(), body));
     let (id, retry, client) = (fields.id, fields.retry, ClientCheck::of(client));
-    Ok(Call { id, class, tenant, retry, deadline, authority, payload, open_request, client })
+    Ok(Call { id, class, tenant, retry, deadline, authority, payload, open_request, client, is_repeatable })
 }
 
 /// Returns when the client stops waiting. The time runs from the last byte at this machine, which may have waited
--- a/crates/proxy/src/stages/request_table.rs
+++ b/crates/proxy/src/stages/request_table.rs
@@ -36,6 +36,15 @@
     attempts: Vec<Option<oneshot::Sender<()>>>,
     in_flight: u32,
     client: ClientCheck,
+    is_repeatable: bool,
+}
+
+/// The id of a request, and whether the request is safe to repeat.
+pub struct RequestKey {
+    /// The client's id.
+    pub id: HeaderValue,
+    /// Whether a request with the same id may be executed again.
+    pub is_repeatable: bool,
 }
 
 /// All requests. An entry is kept until the request has a verdict and none of its attempts is in flight.
@@ -64,11 +73,12 @@
     /// and must not be again.
     pub fn open(
         &self,
-        id: HeaderValue,
+        key: RequestKey,
         payload: Rc<Payload>,
         deadline: Instant,
         client: ClientCheck,
     ) -> Option<(RequestId, oneshot::Receiver<Verdict>)> {
+        let RequestKey { id, is_repeatable } = key;
         if self.recent_ids.contains(&id, Instant::now()) || !self.open_ids.borrow_mut().insert(id.clone()) {
             return None;
         }
@@ -82,6 +92,7 @@
             attempts: Vec::new(),
             in_flight: 0,
             client,
+            is_repeatable,
         };
         self.entries.borrow_mut().insert(request, entry);
         Some((request, verdict))
@@ -100,7 +111,7 @@
             return (Err(number), is_only);
         }
         let (payload, deadline) = (entry.payload.clone(), entry.deadline);
-        if !payload.method.is_safe() {
+        if !entry.is_repeatable {
             self.recent_ids.on_attempt(&entry.id, Instant::now());
         }
         (Ok(Attempt { request, number, payload, deadline, start_by, cancelled }), is_only)
--- a/crates/proxy/src/stages/write_check/tests.rs
+++ b/crates/proxy/src/stages/write_check/tests.rs
@@ -4,6 +4,7 @@
 use crate::call::{Body, Payload, Verdict};
 use crate::descriptors::Descriptors;
 use crate::stages::context::{EventSink, Limits};
+use crate::stages::request_table::RequestKey;
 use actix_http::Method;
 use actix_http::header::{HeaderMap, HeaderValue};
 use bytes::Bytes;
@@ -39,7 +40,12 @@
     let deadline = Instant::now() + Duration::from_secs(600);
     let (request, _) = context
         .request_table
-        .open(HeaderValue::from_static("r"), payload, deadline, ClientCheck::default())
+        .open(
+            RequestKey { id: HeaderValue::from_static("r"), is_repeatable: true },
+            payload,
+            deadline,
+            ClientCheck::default(),
+        )
         .expect("opened");
     (context, request)
 }
