Don't close whole requests that wait for memory as stalled uploads

Found on reading again: a request that is whole and waits for memory is, like a client that has stopped, in the queue of uploads; after 1 s it was closed without an answer when others needed memory.

Cause: no progress was taken for a client that has stopped. Now a connection counts as stalled only if the rest of its request has yet to be sent, and only memory is freed that way; slow heads have their second.

The eviction order has a file of its own. Test: only_an_upload_whose_client_has_stopped_is_evicted_for_memory fails with the old rule (the whole request is closed first) and passes.

--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -1,5 +1,5 @@
-//! The table of client connections: their states, their timeouts, and the eviction order under descriptor
-//! pressure.
+//! The table of client connections: their states and their timeouts. [`eviction`] has the order in which they are
+//! evicted.
 //!
 //! [`Clients`] owns the queues and each [`Client`] the state of one connection. `listen.rs` registers
 //! connections and reports the progress of their requests; [`stream`] reports reads and writes. This module
@@ -8,12 +8,15 @@
 //! A connection has a request in flight, or waits for the first or the remaining bytes of a request head, or
 //! receives a body, or is idle between two requests, or is being closed (`closing.rs`). A connection with a
 //! request in flight is never evicted. All others are in queues ordered by the time they entered their state,
-//! so that no operation scans all connections.
+//! so that no operation scans connections that entered theirs a short time ago.
 
+mod eviction;
 mod head_memory;
 mod incoming;
 pub mod stream;
 
+pub use self::eviction::IdleEviction;
+use self::eviction::SILENT_EVICTION_AGE;
 use self::head_memory::HeadMemory;
 pub use self::incoming::Incoming;
 use crate::closing::{Closing, Event, Step};
@@ -40,21 +43,6 @@
 const BODY_PROGRESS_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum idle time between two requests on a connection.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Age from which, under descriptor pressure, a connection that has sent nothing is evicted before an idle
-/// one. While idle connections are being closed, such a connection is closed at this age.
-const SILENT_EVICTION_AGE: Duration = Duration::from_millis(250);
-/// Minimum age for evicting a silent, partial or closing connection: the first bytes of a normal client may
-/// still be in transit.
-const EVICTION_GRACE: Duration = Duration::from_millis(20);
-/// Age from which an idle connection is evicted for requests that wait for memory. A younger one may be about to send
-/// its next request.
-const RESTED_AGE: Duration = Duration::from_millis(500);
-/// While idle connections are protected, a connection whose request head has made no progress for this long
-/// is evicted before them. A client that writes its head within 2 s pauses for less.
-const STALLED_EVICTION_AGE: Duration = Duration::from_secs(1);
-
-/// Maximum number of connections that are evicted at once for requests that wait for memory.
-const MAX_EVICTIONS_PER_CHECK: usize = 8;
 
 /// The time at which a connection entered its queue, and a sequence number that distinguishes equal times.
 type QueueKey = (Instant, u64);
@@ -89,15 +77,6 @@
     memory: Rc<MemoryAccountant>,
 }
 
-/// Whether an idle connection that has sent requests may be evicted.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum IdleEviction {
-    Allowed,
-    /// Only if it has been idle for [`RESTED_AGE`].
-    Rested,
-    Forbidden,
-}
-
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum State {
     /// Waits for the first byte of its first request since the given key.
@@ -245,109 +224,13 @@
                 Clients::close_oldest(queue);
             }
         }
-        self.close_held_heads(now);
+        self.close_held_heads(now, HELD_HEAD_TIMEOUT);
         let has_expired = |client: &Rc<Client>| client.next_step(now) == Step::Close;
         while let Some(client) = Clients::oldest_client(&self.closing).filter(&has_expired) {
             client.abandon();
         }
     }
 
-    /// Evicts at most one connection, in this order of preference: a closing connection whose client had time
-    /// to read its response; a connection that was accepted some time ago and has sent nothing; an idle one,
-    /// since its client can open another; the one whose request head has made no progress for the longest
-    /// time. A legitimate client may take 2 s for its request head, so it must not be evicted for thousands
-    /// of new connections that send nothing.
-    pub fn evict_one(&self) {
-        self.evict_one_at(Instant::now(), IdleEviction::Allowed);
-    }
-
-    /// Evicts at most one connection, but none that is idle after a request. Its client may be about to send the
-    /// next one.
-    pub fn evict_one_not_idle(&self) {
-        self.evict_one_at(Instant::now(), IdleEviction::Forbidden);
-    }
-
-    fn evict_one_at(&self, now: Instant, idle_eviction: IdleEviction) {
-        let has_age = |queue, age| Clients::oldest_entry_time(queue).is_some_and(|since| now - since >= age);
-        if let Some(client) = self.oldest_abandonable(now) {
-            return client.abandon();
-        }
-        let spares_idle = idle_eviction == IdleEviction::Forbidden;
-        let rest = if idle_eviction == IdleEviction::Rested { RESTED_AGE } else { Duration::ZERO };
-        let idle = (&self.idle, rest);
-        let stalled_or_idle = if self.protects_idle.get() || spares_idle {
-            (&self.partial, STALLED_EVICTION_AGE)
-        } else {
-            idle
-        };
-        let mut order = vec![
-            (&self.silent, SILENT_EVICTION_AGE),
-            (&self.idle_unused, Duration::ZERO),
-            stalled_or_idle,
-            (&self.silent, EVICTION_GRACE),
-            (&self.partial, STALLED_EVICTION_AGE),
-        ];
-        // Slow senders and protected idle connections are evicted only if there is no silent connection.
-        // Otherwise they would be evicted whenever all silent connections are still younger than
-        // `EVICTION_GRACE`.
-        if self.silent.borrow().is_empty() {
-            order.extend([idle].into_iter().filter(|_| !spares_idle));
-            order.push((&self.partial, EVICTION_GRACE));
-        }
-        match order.into_iter().find(|(queue, age)| has_age(queue, *age)) {
-            Some((queue, _)) => Clients::close_oldest(queue),
-            None => self.close_stalled_upload(now),
-        }
-    }
-
-    /// Evicts some connections if requests wait for the memory that connections hold.
-    pub fn evict_for_waiting_requests(&self) {
-        for _ in 0..MAX_EVICTIONS_PER_CHECK {
-            if !self.memory.requests_wait() {
-                return;
-            }
-            self.evict_one_at(Instant::now(), IdleEviction::Rested);
-        }
-    }
-
-    /// Returns the closing connection that has waited for its client the longest, if it may be abandoned. While a
-    /// response is being written, a slow reader gets more time.
-    fn oldest_abandonable(&self, now: Instant) -> Option<Rc<Client>> {
-        let closing = self.closing.borrow();
-        let mut waiting = closing.iter().take_while(|((since, _), _)| now - *since >= EVICTION_GRACE);
-        let may_be_abandoned =
-            |since: Instant, client: &Client| client.has_written_all() || now - since >= STALLED_EVICTION_AGE;
-        waiting
-            .find(|((since, _), client)| may_be_abandoned(*since, client))
-            .map(|(_, client)| client.clone())
-    }
-
-    /// Refuses the requests whose heads have waited for memory for too long.
-    fn close_held_heads(&self, now: Instant) {
-        let partial = self.partial.borrow();
-        let old = partial.iter().take_while(|((since, _), _)| now - *since >= HELD_HEAD_TIMEOUT);
-        let held = old.map(|(_, client)| client).filter(|client| client.head_memory.holds_head());
-        let held: Vec<Rc<Client>> = held.cloned().collect();
-        drop(partial);
-        for client in held {
-            client.begin_close(CloseIntent::Now);
-            client.wake();
-        }
-    }
-
-    /// Closes the connection whose body has made no progress for the longest time although its client could have
-    /// sent more.
-    fn close_stalled_upload(&self, now: Instant) {
-        let uploading = self.uploading.borrow();
-        let mut stalled = uploading.iter().take_while(|((since, _), _)| now - *since >= STALLED_EVICTION_AGE);
-        let client = stalled.find(|(_, client)| !client.allowance.is_exhausted()).map(|(_, c)| c.clone());
-        drop(uploading);
-        if let Some(client) = client {
-            client.begin_close(CloseIntent::Now);
-            client.wake();
-        }
-    }
-
     /// Evicts idle connections last from now on. During a shutdown their clients may find no other proxy, and
     /// many new clients that keep connecting would otherwise displace them.
     pub fn protect_idle(&self) {
--- a/crates/proxy/src/clients/stream/tests.rs
+++ b/crates/proxy/src/clients/stream/tests.rs
@@ -1,4 +1,5 @@
-use super::super::{Clients, EVICTION_GRACE, IDLE_TIMEOUT, IdleEviction, RequestBody, SILENT_EVICTION_AGE};
+use super::super::eviction::EVICTION_GRACE;
+use super::super::{Clients, IDLE_TIMEOUT, IdleEviction, RequestBody, SILENT_EVICTION_AGE};
 use super::*;
 use crate::interrupted::tests::{InterruptedSocket, Interruptions};
 use std::io::Write;
@@ -52,7 +53,7 @@
         ("idle timeout", |clients| clients.close_expired_at(Instant::now() + IDLE_TIMEOUT)),
         ("close of idle connections", Clients::close_idle),
         ("eviction of a silent connection", |clients| {
-            clients.evict_one_at(Instant::now() + SILENT_EVICTION_AGE, IdleEviction::Allowed)
+            clients.evict_one_at(Instant::now() + SILENT_EVICTION_AGE, IdleEviction::Allowed);
         }),
     ];
     for (n, (name, trigger)) in triggers.into_iter().enumerate() {
--- a/crates/proxy/src/clients/tests.rs
+++ b/crates/proxy/src/clients/tests.rs
@@ -1,4 +1,6 @@
+use super::eviction::{EVICTION_GRACE, STALLED_EVICTION_AGE};
 use super::*;
+use std::task::Waker;
 
 fn is_close_requested(client: &Client) -> bool {
     client.close_intent.get() != CloseIntent::KeepOpen
@@ -195,3 +197,22 @@
     }
     assert!(is_close_requested(&silent), "it is closed unless a request has arrived");
 }
+
+/// Guards against a whole request that waits for memory, and whose connection is closed as that of a stalled upload.
+#[test]
+fn only_an_upload_whose_client_has_stopped_is_evicted_for_memory() {
+    let clients: Rc<Clients> = Rc::default();
+    let [whole, unread, stopped] = [0; 3].map(|_| clients.register());
+    for (client, end) in [(&whole, 0), (&unread, 9), (&stopped, 9)] {
+        client.on_head_received();
+        client.incoming().arrivals().set_request_end(Some(end));
+    }
+    unread.allowance().set(0);
+    unread.allowance().poll_remaining(&Context::from_waker(Waker::noop()));
+    let State::Uploading((since, _)) = stopped.state.get() else { panic!("the body is not being received") };
+    let evict_after = |age| clients.evict_for_memory_at(since + age, IdleEviction::Rested);
+    evict_after(STALLED_EVICTION_AGE - Duration::from_millis(1));
+    assert_eq!(close_requests(&[&whole, &unread, &stopped]), [false; 3]);
+    (0..3).for_each(|_| evict_after(STALLED_EVICTION_AGE));
+    assert_eq!(close_requests(&[&whole, &unread, &stopped]), [false, false, true]);
+}
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -9,7 +9,7 @@
 use crate::accept::{Accept, Acceptor};
 use crate::bodies::ResponseBody;
 use crate::call::{Body, Call, ResponseContent, Verdict};
-use crate::clients::{Client, Clients, Connection, PeerSocket, RequestBody, Stream};
+use crate::clients::{Client, Clients, Connection, IdleEviction, PeerSocket, RequestBody, Stream};
 use crate::config::Sockets;
 use crate::framing::{self, BodyFraming, FramingError, Side};
 use crate::latency::LatencyEstimate;
@@ -131,11 +131,12 @@
     async fn wait_for_memory(&self) {
         let began = Instant::now();
         while !self.clients.memory().has_room_for_client() {
-            if began.elapsed() < IDLE_EVICTION_DELAY {
-                self.clients.evict_one_not_idle();
+            let is_long = began.elapsed() >= IDLE_EVICTION_DELAY;
+            self.clients.evict_for_memory(if is_long {
+                IdleEviction::Allowed
             } else {
-                self.clients.evict_one();
-            }
+                IdleEviction::Forbidden
+            });
             let _ = timeout(EVICTION_WAIT, self.clients.wait_for_closed_connection()).await;
         }
     }
