Grant waiting reservations once the allocator has freed what was released

Found on reading again: a reservation that waits only because of what the allocator counts was looked at again when something was released. At that moment the bytes are not freed yet, so that the last one waits for its time-out beside free memory. Now every 0.1 s as well. A head with over 14 fields no longer waits a turn of the event loop if there is memory for it.

Shown by the unit test of the accountant; on sockets it was not measured.

--- a/crates/proxy/src/clients/head_memory.rs
+++ b/crates/proxy/src/clients/head_memory.rs
@@ -40,8 +40,12 @@
         if fields <= CHARGED_FIELDS || self.fields.borrow().is_some() {
             return true;
         }
+        let bytes = field_table_bytes(fields);
+        if let Some(reservation) = memory.try_reserve(Owner::RequestHeads, bytes) {
+            *self.fields.borrow_mut() = Some(reservation);
+            return true;
+        }
         if self.waiting_fields.borrow().is_none() {
-            let bytes = field_table_bytes(fields);
             let priority = Priority { weight: 0.0, remaining_bytes: bytes as u64 };
             *self.waiting_fields.borrow_mut() = Some(memory.reserve(Owner::RequestHeads, bytes, priority));
         }
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -319,6 +319,7 @@
     loop {
         interval.tick().await;
         control.clients.close_expired();
+        control.clients.memory().grant_what_fits();
         control.clients.evict_for_waiting_requests();
         if control.clients.memory().is_short()
             && logged_at.is_none_or(|at| at.elapsed() >= MEMORY_LOG_INTERVAL)
--- a/crates/proxy/src/memory/accountant.rs
+++ b/crates/proxy/src/memory/accountant.rs
@@ -158,6 +158,12 @@
         !self.waiting[Owner::OpenRequests.queue()].borrow().is_empty()
     }
 
+    /// Grants reservations that wait for what the allocator counts. Memory is freed a moment after it was released here,
+    /// and nothing else tells.
+    pub fn grant_what_fits(self: &Rc<Self>) {
+        self.grant_waiting();
+    }
+
     /// What is in use: what the owners hold, or what the allocator counts if that is more.
     fn total(&self) -> usize {
         let measured = PROGRAM_BYTES + UNALLOCATED_BYTES + self.allocated();
--- a/crates/proxy/src/memory/accountant/tests.rs
+++ b/crates/proxy/src/memory/accountant/tests.rs
@@ -2,6 +2,7 @@
 use crate::memory::{BufferUse, GROWN_BUFFERS_BYTES};
 use futures_util::FutureExt;
 use proptest::prelude::*;
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 
 const KIB: usize = 1024;
 /// A limit under which the bodies of the tests have 50 kB.
@@ -112,6 +113,21 @@
     assert_eq!(memory.usage().of(Owner::Endpoints), 0);
 }
 
+/// Guards against requests that wait although the libraries have freed what they held.
+#[test]
+fn reservation_that_waits_for_what_the_allocator_counts_is_granted_once_that_is_freed() {
+    static ALLOCATED: AtomicUsize = AtomicUsize::new(LIMIT);
+    let memory = Rc::new(MemoryAccountant::measuring(LIMIT, || ALLOCATED.load(Relaxed)));
+    let first = memory.try_reserve(Owner::OpenRequests, 1).expect("the first one is granted in any case");
+    let mut waiting = Box::pin(memory.reserve(Owner::OpenRequests, 1, priority(1.0, 1)));
+    memory.grant_what_fits();
+    assert!((&mut waiting).now_or_never().is_none() && memory.requests_wait());
+    ALLOCATED.store(0, Relaxed);
+    memory.grant_what_fits();
+    assert!(waiting.now_or_never().is_some());
+    drop(first);
+}
+
 /// One step of a random sequence.
 #[derive(Clone, Debug)]
 enum Operation {
