Give up error responses that stall, and go by the class, not the method

And whether another endpoint may answer went by the method: a POST of a class that is safe to repeat was waited for.

Change: only a response that is forwarded is waited for, and the class of the settings decides. Patience is called StallPolicy. The test of the pause is a scenario now, as strict: it waits for the first byte and sends the rest then.

--- a/crates/proxy/src/stages/attempt.rs
+++ b/crates/proxy/src/stages/attempt.rs
@@ -7,7 +7,7 @@
 use super::context::Context;
 use super::endpoint_response::{BODY_IDLE_TIMEOUT, ResponseRemainder, forward_remainder, receive};
 use super::request_table::Attempt;
-use super::response_start::Patience;
+use super::response_start::StallPolicy;
 use super::write_check::WriteCheck;
 use crate::backends::{Lease, LeaseError};
 use crate::bodies::{Pieces, RequestBody};
@@ -62,9 +62,9 @@
         Body::Buffered { .. } => None,
     };
     let (mut awaits_release, mut started) = (upload.is_some(), began);
-    let patience = patience(&attempt);
+    let stall_policy = stall_policy(&attempt);
     let mut result = {
-        let exchange = exchange(&context, lease, write_check, &attempt.payload, patience);
+        let exchange = exchange(&context, lease, write_check, &attempt.payload, stall_policy);
         let expired = wait_until_expired(upload.as_deref(), attempt.deadline);
         tokio::pin!(exchange, expired);
         loop {
@@ -196,14 +196,14 @@
     lease: Result<Lease, LeaseError>,
     write_check: Option<Rc<WriteCheck>>,
     payload: &Payload,
-    patience: Patience,
+    stall_policy: StallPolicy,
 ) -> AttemptResult {
     let (Ok(lease), Some(write_check)) = (lease, write_check) else { return Outcome::NotSent.into() };
     let (target, method) = (lease.target, &payload.method);
     lease.monitor.expects_no_body.set(*method == Method::HEAD);
     let (monitor, reused) = (lease.monitor.clone(), lease.reused);
     let received = match send(context, &lease, &write_check, payload).await {
-        Ok(response) => receive(context, lease, response, patience).await,
+        Ok(response) => receive(context, lease, response, stall_policy).await,
         Err(outcome) => Err(outcome),
     };
     let reconnected = monitor.reconnected.take();
@@ -234,9 +234,9 @@
 }
 
 /// Another endpoint may answer a request that is safe to repeat, unless the second one stalls as the first one did.
-fn patience(attempt: &Attempt) -> Patience {
-    let may_be_repeated = attempt.number == 0 && attempt.payload.method.is_safe();
-    if may_be_repeated { Patience::Stalled } else { Patience::Patient }
+fn stall_policy(attempt: &Attempt) -> StallPolicy {
+    let may_be_repeated = attempt.number == 0 && attempt.is_repeatable;
+    if may_be_repeated { StallPolicy::GiveUp } else { StallPolicy::Wait }
 }
 
 /// Sends the request of an attempt and waits for the head of the response. The head of the request contains
@@ -391,7 +391,7 @@
         response = wait_for_head(&monitor, send()).await?;
     }
     let response = response.map_err(|error| outcome_of_error(&error, &monitor))?;
-    match receive(context, lease, response, Patience::Stalled).await? {
+    match receive(context, lease, response, StallPolicy::GiveUp).await? {
         (_, _, Some(_)) => Err(Outcome::Error), // too long for a health check's response
         (head, ..) => {
             let outcome = backend::outcome(head.status, &head.headers);
--- a/crates/proxy/src/stages/endpoint_response.rs
+++ b/crates/proxy/src/stages/endpoint_response.rs
@@ -1,7 +1,7 @@
 //! Receives an endpoint's response, or the start of a long one, and forwards the rest of that.
 
 use super::context::Context;
-use super::response_start::{Patience, ResponseStart, StartReader};
+use super::response_start::{ResponseStart, StallPolicy, StartReader};
 use crate::backends::Lease;
 use crate::bodies::{BodySender, MAX_BUFFERED_BYTES, Pieces, body_channel};
 use crate::call::ResponseContent;
@@ -57,17 +57,19 @@
     context: &Context,
     lease: Lease,
     mut response: ClientResponse,
-    patience: Patience,
+    stall_policy: StallPolicy,
 ) -> Result<(Head, ResponseContent, Option<Box<ResponseRemainder>>), Outcome> {
     let monitor = lease.monitor.clone();
     let framing = monitor.framing();
     // Whatever awc reads from the head, a response without a body ends with its head.
     let has_unread_payload =
         framing == BodyFraming::Empty && !matches!(response.take_payload(), actix_http::Payload::None);
+    let is_final = backend::is_final(response.status());
+    // Nobody waits for the rest of a response that is not forwarded.
+    let stall_policy = if is_final { stall_policy } else { StallPolicy::GiveUp };
     let received = async {
         let head = Head::of(&response);
-        let is_final = backend::is_final(head.status);
-        let reader = StartReader::new(&context.memory, framing.length(), is_final, patience);
+        let reader = StartReader::new(&context.memory, framing.length(), is_final, stall_policy);
         let start = reader.read(&mut response).await.map_err(|e| outcome_of_body_error(&e, &monitor))?;
         if !start.has_more {
             check_complete(&monitor, start.received_bytes)?;
@@ -79,7 +81,7 @@
     let (head, start) = tokio::select! {
         biased;
         received = received => received?,
-        () = monitor.wait_until_stalled(), if patience == Patience::Stalled => return Err(Outcome::Error),
+        () = monitor.wait_until_stalled(), if stall_policy == StallPolicy::GiveUp => return Err(Outcome::Error),
     };
     let closes_connection = has_unread_payload || head.closes_connection();
     let ResponseStart { bytes, received_bytes, has_more, reservation } = start;
--- a/crates/proxy/src/stages/request_table.rs
+++ b/crates/proxy/src/stages/request_table.rs
@@ -19,6 +19,8 @@
     pub number: u32,
     /// What is sent to the endpoint.
     pub payload: Rc<Payload>,
+    /// Whether the request is safe to repeat.
+    pub is_repeatable: bool,
     /// When the attempt times out.
     pub deadline: Instant,
     /// The first byte must be written before this time, or not at all.
@@ -110,11 +112,12 @@
         if entry.verdict.is_none() {
             return (Err(number), is_only);
         }
-        let (payload, deadline) = (entry.payload.clone(), entry.deadline);
-        if !entry.is_repeatable {
+        let (payload, deadline, is_repeatable) = (entry.payload.clone(), entry.deadline, entry.is_repeatable);
+        if !is_repeatable {
             self.recent_ids.on_attempt(&entry.id, Instant::now());
         }
-        (Ok(Attempt { request, number, payload, deadline, start_by, cancelled }), is_only)
+        let attempt = Attempt { request, number, payload, is_repeatable, deadline, start_by, cancelled };
+        (Ok(attempt), is_only)
     }
 
     /// Whether a request has no verdict yet and its client waits for a response.
--- a/crates/proxy/src/stages/response_start.rs
+++ b/crates/proxy/src/stages/response_start.rs
@@ -18,15 +18,15 @@
 const MAX_UNKNOWN_BUFFERING_TIME: Duration = Duration::from_millis(2000);
 /// The same if the request would not be sent to another endpoint: its endpoint is waited for. Less than the time after
 /// which a response counts as stalled.
-const MAX_PATIENT_BUFFERING_TIME: Duration = Duration::from_millis(900);
+const MAX_BUFFERING_TIME_WITHOUT_RETRY: Duration = Duration::from_millis(900);
 
 /// Whether a response that makes no progress is given up, because another endpoint may answer the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Patience {
+pub enum StallPolicy {
     /// It is given up.
-    Stalled,
+    GiveUp,
     /// It is waited for: the request must not run again, or another endpoint stalled before.
-    Patient,
+    Wait,
 }
 
 /// What was received of a body.
@@ -51,7 +51,7 @@
     forward_at: Instant,
     /// When a response is forwarded that may be long.
     forward_unknown_at: Instant,
-    patience: Patience,
+    stall_policy: StallPolicy,
     buffered: BufferedBody,
     reservation: Option<Reservation>,
 }
@@ -62,14 +62,14 @@
         memory: &'a Rc<MemoryAccountant>,
         length: Option<u64>,
         is_forwarded: bool,
-        patience: Patience,
+        stall_policy: StallPolicy,
     ) -> StartReader<'a> {
         let now = Instant::now();
         let forward_at = now + MAX_BUFFERING_TIME;
         let forward_unknown_at = now
-            + match patience {
-                Patience::Stalled => MAX_UNKNOWN_BUFFERING_TIME,
-                Patience::Patient => MAX_PATIENT_BUFFERING_TIME,
+            + match stall_policy {
+                StallPolicy::GiveUp => MAX_UNKNOWN_BUFFERING_TIME,
+                StallPolicy::Wait => MAX_BUFFERING_TIME_WITHOUT_RETRY,
             };
         StartReader {
             memory,
@@ -77,7 +77,7 @@
             is_forwarded,
             forward_at,
             forward_unknown_at,
-            patience,
+            stall_policy,
             buffered: BufferedBody::default(),
             reservation: None,
         }
@@ -124,7 +124,7 @@
     /// Whether the response is not known to be short, and is waited for or has begun.
     fn may_be_long(&self) -> bool {
         let is_short = self.length.is_some_and(|length| length <= MAX_BUFFERED_BYTES as u64);
-        !is_short && (self.patience == Patience::Patient || self.buffered.len() > 0)
+        !is_short && (self.stall_policy == StallPolicy::Wait || self.buffered.len() > 0)
     }
 
     /// Whether the next chunk may exceed what a connection has memory for. What is in the read buffer already
--- a/crates/proxy/src/stages/response_start/tests.rs
+++ b/crates/proxy/src/stages/response_start/tests.rs
@@ -17,12 +17,12 @@
     actix_rt::System::new().block_on(async {
         let memory = Rc::new(MemoryAccountant::default());
         for (kilobytes, reserved) in [(0, None), (3, None), (40, Some(40 * 1024 + PIECE_BYTES))] {
-            let reader = StartReader::new(&memory, Some(kilobytes as u64 * 1024), true, Patience::Stalled);
+            let reader = StartReader::new(&memory, Some(kilobytes as u64 * 1024), true, StallPolicy::GiveUp);
             let start = reader.read(&mut body(kilobytes)).await.expect("no error");
             assert_eq!((start.bytes.len(), start.has_more), (kilobytes * 1024, false));
             assert_eq!(start.reservation.as_ref().map(Reservation::bytes), reserved);
         }
-        let start = StartReader::new(&memory, None, true, Patience::Stalled)
+        let start = StartReader::new(&memory, None, true, StallPolicy::GiveUp)
             .read(&mut body(100))
             .await
             .expect("no error");
@@ -37,7 +37,7 @@
         let (memory, _all) = without_memory();
         for length in [Some(40 * 1024), Some(1 << 20), None] {
             let began = Instant::now();
-            let start = StartReader::new(&memory, length, true, Patience::Stalled)
+            let start = StartReader::new(&memory, length, true, StallPolicy::GiveUp)
                 .read(&mut body(40))
                 .await
                 .expect("no error");
@@ -52,7 +52,7 @@
 fn body_that_is_not_forwarded_needs_no_memory() {
     let (memory, _all) = without_memory();
     for (kilobytes, has_more) in [(64, false), (100, true)] {
-        let start = StartReader::new(&memory, None, false, Patience::Stalled)
+        let start = StartReader::new(&memory, None, false, StallPolicy::GiveUp)
             .read(&mut body(kilobytes))
             .now_or_never();
         let start = start.expect("ready").expect("no error");
--- a/crates/proxy/tests/scenario/mod.rs
+++ b/crates/proxy/tests/scenario/mod.rs
@@ -7,6 +7,7 @@
 //!                                          `send chunk TEXT` one chunk
 //! c expect 200 | body                      reads the client's response and compares it; NAME=* requires that
 //!                                          a header is present, NAME= that it is absent
+//! c expect started                         waits for the first byte of the client's response
 //! c close                                  closes the connection; `expect closed` waits until the proxy does
 //! proxy send TERM                          sends a signal to the proxy
 //! proxy wait ready                         waits until the proxy is `ready`, for its successful `exit`, or for
@@ -642,6 +643,7 @@
                 }
                 connection.get_mut().write_all(text.as_bytes()).map_err(to_text)
             }
+            ("expect", "started") => connection.get_ref().peek(&mut [0; 1]).map(drop).map_err(to_text),
             ("expect", "closed") => match connection.read(&mut [0; 1]) {
                 Ok(0) => self.clients.remove(who).map(drop).ok_or_else(String::new),
                 Err(e) if e.kind() == ErrorKind::ConnectionReset => {
--- a/crates/proxy/tests/slow_endpoints.rs
+++ b/crates/proxy/tests/slow_endpoints.rs
@@ -2,15 +2,15 @@
 
 mod scenario;
 mod site;
-use scenario::{STEP_TIMEOUT, read_message, serve};
+use scenario::{STEP_TIMEOUT, play, serve};
 use site::{Site, generous_settings};
-use std::io::{BufReader, Read, Write};
+use std::io::{Read, Write};
 use std::net::TcpStream;
-use std::sync::Mutex;
-use std::sync::mpsc::channel;
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
+/// The latency objective of the classes of a scenario.
+const SCENARIO_OBJECTIVE: Duration = Duration::from_secs(20);
 /// The time that the clients of uploads have, and how much later a response may come.
 const CLIENT_TIME: Duration = Duration::from_millis(2000);
 const LATENESS: Duration = Duration::from_millis(500);
@@ -18,41 +18,31 @@
 /// Guards against a response in chunks that is given up because its endpoint pauses within the first 64 KiB.
 #[test]
 fn response_whose_endpoint_pauses_is_passed_on_while_it_comes() {
-    for start in ["", "5\r\nhello\r\n"] {
-        let (go_on, paused) = channel();
-        let paused = Mutex::new(paused);
-        let address = serve(move |stream| {
-            let mut reader = BufReader::new(stream.try_clone().expect("cloned"));
-            while let Ok(Some(message)) = read_message(&mut reader) {
-                let is_check = message.first.starts_with("GET");
-                let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
-                let _ = (&stream).write_all(format!("{head}{start}").as_bytes());
-                if !is_check {
-                    paused.lock().expect("no panic").recv().expect("the test runs");
-                }
-                let _ = (&stream).write_all(b"5\r\nworld\r\n0\r\n\r\n");
-            }
-        });
-        let site = Site::with_limits(&generous_settings(), 256, 48, &[("a", address)]);
-        let _process = site.start_ready();
-        let mut link = TcpStream::connect(site.listen).expect("connected");
-        link.set_read_timeout(Some(STEP_TIMEOUT)).expect("set");
-        let head = "POST / HTTP/1.1\r\nhost: h\r\nx-request-id: 1\r\nx-class: book\r\nidempotency-key: 1\r\ncontent-length: 0\r\n\r\n";
-        link.write_all(head.as_bytes()).expect("sent");
-        let mut received = vec![0; 4096];
-        let begun = link.read(&mut received).expect("a response");
-        received.truncate(begun);
-        go_on.send(()).expect("the endpoint waits");
-        while !received.ends_with(b"0\r\n\r\n") {
-            let mut more = [0; 4096];
-            let length = link.read(&mut more).expect("more of the response");
-            assert!(length > 0, "broke off after {:?}", String::from_utf8_lossy(&received));
-            received.extend_from_slice(&more[..length]);
-        }
-        assert!(received.starts_with(b"HTTP/1.1 200"), "{:?}", String::from_utf8_lossy(&received));
+    for (start, body) in [("", "world"), ("5\\r\\nhello\\r\\n", "helloworld")] {
+        play(&format!(
+            "c send POST /api X-Class=book Idempotency-Key=k | x
+             a expect POST /api | x
+             a send raw HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n{start}
+             c expect started
+             a send raw 5\\r\\nworld\\r\\n0\\r\\n\\r\\n
+             c expect 200 | {body}"
+        ));
     }
 }
 
+/// Guards against a wait for the rest of a response that is not forwarded.
+#[test]
+fn error_response_that_stalls_is_given_up_at_once() {
+    let began = Instant::now();
+    play(
+        "c send POST /api X-Class=book Idempotency-Key=k | x
+         a expect POST /api | x
+         a send raw HTTP/1.1 500 No\\r\\nContent-Length: 9\\r\\n\\r\\nhalf
+         c expect 502",
+    );
+    assert!(began.elapsed() < SCENARIO_OBJECTIVE / 4);
+}
+
 /// Guards against a response seconds after its time: the client was done, but its machine still held what the endpoint
 /// had not read.
 #[test]
