Forget the id of a request that was never executed

What a client would see: a request is refused (503, trying again is harmless), it tries again with the same id, as applications behind a sidecar may, and gets 409 for a minute. Found on reading again: an id was remembered from the first attempt on, whatever became of it.

Change: when a request ends of which no attempt may have run, its id is forgotten, here and at the other process of an upgrade. recent_ids.rs and received_request.rs are beside call.rs, since hot restart and the platform use them, and call.rs no longer knows clients.

--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -2,7 +2,6 @@
 //! it.
 
 use crate::bodies::{IncompleteResponse, Pieces, RequestBody, ResponseBody};
-use crate::clients::Client;
 use crate::memory::Reservation;
 use actix_http::body::{BodySize, MessageBody};
 use actix_http::header::{HeaderMap, HeaderValue};
@@ -66,18 +65,18 @@
 }
 
 /// Tells whether the client of a request has left.
-#[derive(Clone, Default)]
-pub struct ClientCheck(Option<Rc<Client>>);
+#[derive(Default)]
+pub struct ClientCheck(Option<Box<dyn Fn() -> bool>>);
 
 impl ClientCheck {
-    /// Creates the check of a client.
-    pub fn of(client: &Rc<Client>) -> ClientCheck {
-        ClientCheck(Some(client.clone()))
+    /// Creates a check that asks `has_left`.
+    pub fn new(has_left: impl Fn() -> bool + 'static) -> ClientCheck {
+        ClientCheck(Some(Box::new(has_left)))
     }
 
     /// Whether the client has closed its connection, whether or not that was read.
     pub fn has_left(&self) -> bool {
-        self.0.as_ref().is_some_and(|client| client.has_left())
+        self.0.as_ref().is_some_and(|has_left| has_left())
     }
 }
 
--- a/crates/proxy/src/clusters/start.rs
+++ b/crates/proxy/src/clusters/start.rs
@@ -11,7 +11,7 @@
 use crate::membership::ListUpdate;
 use crate::memory::MemoryAccountant;
 use crate::platform::registry;
-use crate::stages::recent_ids::IdDigest;
+use crate::recent_ids::IdDigest;
 use crate::stats::Stats;
 use olivecart_decisions::LearnedState;
 use olivecart_membership::ClusterSettings;
--- a/crates/proxy/src/hot_restart/message.rs
+++ b/crates/proxy/src/hot_restart/message.rs
@@ -4,6 +4,7 @@
 
 use super::state_machine::ManualChange;
 use crate::clock::ClockReading;
+use crate::recent_ids::IdEvent;
 use crate::start_times::StartTime;
 use olivecart_decisions::LearnedState;
 use serde::{Deserialize, Serialize};
@@ -38,6 +39,8 @@
     Attach(String),
     /// A request with an id of this digest is about to be executed.
     RequestId(u64),
+    /// None of the attempts of the request with an id of this digest was executed.
+    RequestNeverExecuted(u64),
 }
 
 /// The state that a process hands over to its successor.
@@ -72,6 +75,15 @@
     pub request_ids: Option<Vec<u64>>,
 }
 
+impl From<IdEvent> for Message {
+    fn from(event: IdEvent) -> Message {
+        match event {
+            IdEvent::Executing(digest) => Message::RequestId(digest.0),
+            IdEvent::NeverExecuted(digest) => Message::RequestNeverExecuted(digest.0),
+        }
+    }
+}
+
 impl From<ManualChange> for Message {
     fn from(change: ManualChange) -> Message {
         match change {
--- a/crates/proxy/src/hot_restart/mod.rs
+++ b/crates/proxy/src/hot_restart/mod.rs
@@ -13,7 +13,7 @@
 use self::state_machine::{Action, Event, ManualChange, Peer, RestartState};
 use crate::accept::Acceptor;
 use crate::interrupted::Uninterrupted;
-use crate::stages::recent_ids::IdDigest;
+use crate::recent_ids::{IdDigest, IdEvent};
 use message::{MAX_LINE_BYTES, Message, PROTOCOL_VERSION};
 use rustix::io::retry_on_intr;
 use rustix::net::{
@@ -86,8 +86,8 @@
     fn share_limits(&self, processes: u32);
     /// Detaches or attaches an endpoint.
     fn apply_change(&self, change: &ManualChange);
-    /// Records that the other process executes a request.
-    fn remember_request_id(&self, id: IdDigest);
+    /// Records what the other process has to say of a request's id.
+    fn on_request_id(&self, event: IdEvent);
 }
 
 /// Returns the path of the Unix socket where the process that serves an address listens for its successor.
@@ -219,15 +219,15 @@
         self.state.borrow().is_replaced()
     }
 
-    /// Tells the other processes that a request is about to be executed here. If they are so slow that many messages
+    /// Notifies the other processes of a request that is executed here. If they are so slow that many messages
     /// wait, this one is not sent: the connection to them is worth more.
-    pub fn on_request_id(&self, id: IdDigest) {
+    pub fn on_request_id(&self, event: IdEvent) {
         for (queue, takes_request_ids) in self.queues.borrow().iter().zip(self.takes_request_ids.get()) {
             if let Some(queue) = queue
                 && takes_request_ids
                 && queue.capacity() > MAX_QUEUED_MESSAGES / 2
             {
-                let _ = queue.try_send(Message::RequestId(id.0)); // has room
+                let _ = queue.try_send(event.into()); // has capacity
             }
         }
     }
@@ -390,7 +390,11 @@
                     continue;
                 }
                 Ok(Message::RequestId(digest)) => {
-                    self.host.remember_request_id(IdDigest(digest));
+                    self.host.on_request_id(IdEvent::Executing(IdDigest(digest)));
+                    continue;
+                }
+                Ok(Message::RequestNeverExecuted(digest)) => {
+                    self.host.on_request_id(IdEvent::NeverExecuted(IdDigest(digest)));
                     continue;
                 }
                 Ok(Message::Detach(target)) => ManualChange::Detach(target),
--- a/crates/proxy/src/hot_restart/tests.rs
+++ b/crates/proxy/src/hot_restart/tests.rs
@@ -19,7 +19,7 @@
     fn set_accepting(&self, _: bool) {}
     fn share_limits(&self, _: u32) {}
     fn apply_change(&self, _: &ManualChange) {}
-    fn remember_request_id(&self, _: IdDigest) {}
+    fn on_request_id(&self, _: IdEvent) {}
 }
 
 #[test]
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -33,6 +33,8 @@
 mod membership;
 mod memory;
 mod platform;
+mod received_request;
+mod recent_ids;
 mod reload;
 mod response_digest;
 mod response_monitor;
--- a/crates/proxy/src/platform/client.rs
+++ b/crates/proxy/src/platform/client.rs
@@ -7,7 +7,7 @@
 use crate::bodies::{MAX_BODY_BYTES, RequestBodyError};
 use crate::call::{Body, Call, ClusterUnavailable, Payload, RequestAttributes, ResponseContent, Verdict};
 use crate::framing::{BodyFraming, FramingError};
-use crate::stages::received_request::ReceivedHead;
+use crate::received_request::ReceivedHead;
 use actix_http::header::{self, HeaderName, HeaderValue};
 use actix_http::{ConnectionType, Method, RequestHead, Response, ResponseBuilder, StatusCode};
 use bytes::Bytes;
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -99,7 +99,7 @@
     let process = Rc::new(process);
     let hot_restart = path.map(|path| HotRestart::start(process.clone(), path, connection, log.clone()));
     if let Some(hot_restart) = hot_restart.clone() {
-        clusters.recent_ids(|ids| ids.set_listener(move |id| hot_restart.on_request_id(id)));
+        clusters.recent_ids(|ids| ids.set_listener(move |event| hot_restart.on_request_id(event)));
     }
     if let (Some(console), Some(stats)) = (console, stats) {
         let admin_state = AdminState {
--- a/crates/proxy/src/serving_process.rs
+++ b/crates/proxy/src/serving_process.rs
@@ -11,7 +11,7 @@
 use crate::hot_restart::{self, Handover, HotRestartHost, PeerConnection, State};
 use crate::listen::{self, AcceptControl};
 use crate::memory::MemoryAccountant;
-use crate::stages::recent_ids::IdDigest;
+use crate::recent_ids::IdEvent;
 use slog::{Logger, info};
 use std::cell::Cell;
 use std::io;
@@ -133,8 +133,8 @@
         self.memory.set_limit(memory_bytes, processes);
     }
 
-    fn remember_request_id(&self, id: IdDigest) {
-        self.clusters.recent_ids(|ids| _ = ids.remember(id, Instant::now()));
+    fn on_request_id(&self, event: IdEvent) {
+        self.clusters.recent_ids(|ids| ids.apply(event, Instant::now()));
     }
 
     fn apply_change(&self, change: &ManualChange) {
--- a/crates/proxy/src/stages/attempt.rs
+++ b/crates/proxy/src/stages/attempt.rs
@@ -6,7 +6,7 @@
 use super::admission::DEADLINE_MARGIN;
 use super::context::Context;
 use super::endpoint_response::{BODY_IDLE_TIMEOUT, ResponseRemainder, forward_remainder, receive};
-use super::request_table::Attempt;
+use super::request_table::{Attempt, Execution};
 use super::response_start::StallPolicy;
 use super::write_check::WriteCheck;
 use crate::backends::{Lease, LeaseError};
@@ -96,10 +96,11 @@
     }
     // The exchange was dropped above, and with it the connection of a cancelled attempt. The outcome must not
     // be reported earlier, since the balancer may send the request to another endpoint at once.
+    let execution = execution(&result, upload.as_deref());
     if let Some(upload) = &upload {
         started = upload.ended_at().unwrap_or(began); // an endpoint starts work once it has the last byte
         if result.response.is_none() && upload.is_released() {
-            finish_without_retry(&context, &attempt, &result, upload);
+            finish_without_retry(&context, &attempt, execution);
         }
     }
     let elapsed = started.elapsed();
@@ -107,7 +108,7 @@
     // would occupy its slot at the endpoint while a client reads slowly, and a hedged request would be sent
     // and then cancelled.
     let remainder = result.remainder.take();
-    record_outcome(&context, &attempt, endpoint, elapsed, result);
+    record_outcome(&context, &attempt, endpoint, elapsed, execution, result);
     let Some(remainder) = remainder else { return };
     let outcome = forward_remainder(&context, *remainder, attempt.deadline).await;
     // The attempt was already counted as a success, although the endpoint may have failed during the
@@ -117,12 +118,20 @@
     }
 }
 
+/// Whether an attempt may have been executed. An endpoint that did not receive the last byte never executed the
+/// request.
+fn execution(result: &AttemptResult, upload: Option<&RequestBody>) -> Execution {
+    let is_incomplete = upload.is_some_and(|upload| !upload.is_complete());
+    if is_incomplete || result.outcome.was_never_executed() { Execution::Never } else { Execution::Possible }
+}
+
 /// Ends a request whose body can't be sent again, since a part of it is no longer buffered: the client gets
-/// its response at once, and the balancer is not asked for another attempt. An endpoint that did not receive
-/// the last byte never executed the request.
-fn finish_without_retry(context: &Context, attempt: &Attempt, result: &AttemptResult, upload: &RequestBody) {
-    let never_ran = result.outcome.was_never_executed() || !upload.is_complete();
-    let verdict = if never_ran { Verdict::Refused { retry_after: Duration::ZERO } } else { Verdict::Failed };
+/// its response at once, and the balancer is not asked for another attempt.
+fn finish_without_retry(context: &Context, attempt: &Attempt, execution: Execution) {
+    let verdict = match execution {
+        Execution::Never => Verdict::Refused { retry_after: Duration::ZERO },
+        Execution::Possible => Verdict::Failed,
+    };
     context.request_table.finish(attempt.request, verdict);
 }
 
@@ -154,9 +163,10 @@
     attempt: &Attempt,
     endpoint: EndpointId,
     elapsed: Duration,
+    execution: Execution,
     result: AttemptResult,
 ) {
-    let completed = context.request_table.attempt_ended(attempt.request, result.response);
+    let completed = context.request_table.attempt_ended(attempt.request, execution, result.response);
     context.report(Event::AttemptEnded(AttemptEnd {
         request: attempt.request,
         attempt: attempt.number,
@@ -176,7 +186,7 @@
     endpoint: EndpointId,
     outcome: Outcome,
 ) {
-    let completed = context.request_table.attempt_ended(request, None);
+    let completed = context.request_table.attempt_ended(request, Execution::Never, None);
     let end = AttemptEnd {
         request,
         attempt: number,
--- a/crates/proxy/src/stages/mod.rs
+++ b/crates/proxy/src/stages/mod.rs
@@ -14,8 +14,6 @@
 pub mod context;
 mod endpoint_response;
 pub mod parse;
-pub mod received_request;
-pub mod recent_ids;
 pub mod request_table;
 pub mod response;
 mod response_start;
--- a/crates/proxy/src/stages/parse.rs
+++ b/crates/proxy/src/stages/parse.rs
@@ -2,7 +2,6 @@
 //! a long one).
 
 use super::checked_payload::CheckedPayload;
-use super::received_request::ReceivedRequest;
 use crate::arrivals::Arrivals;
 use crate::bodies::{
     BufferedBody, MAX_BUFFERED_BYTES, RequestBody, RequestClock, SENT_BODY_BUFFERS_BYTES,
@@ -16,6 +15,7 @@
     PendingReservation, Priority, ReadAllowance, Reservation,
 };
 use crate::platform::client::{self, Reject};
+use crate::received_request::ReceivedRequest;
 use crate::shutdown_deadline::ShutdownDeadline;
 use futures_util::StreamExt;
 use olivecart_decisions::{ClassId, Idempotency, TenantId};
@@ -82,7 +82,10 @@
     let tenant = tenant.map(|t| TenantId(t as u16));
     let authority = request.head().uri.authority().cloned(); // None for most requests
     let payload = Rc::new(client::payload(request.take_head(), body));
-    let (id, retry, client) = (fields.id, fields.retry, ClientCheck::of(client));
+    let (id, retry, client) = (fields.id, fields.retry, {
+        let client = client.clone();
+        ClientCheck::new(move || client.has_left())
+    });
     Ok(Call { id, class, tenant, retry, deadline, authority, payload, open_request, client, is_repeatable })
 }
 
--- a/crates/proxy/src/stages/request_table.rs
+++ b/crates/proxy/src/stages/request_table.rs
@@ -1,8 +1,8 @@
 //! The open requests: one verdict for each request, one outcome for each attempt.
 
-use super::recent_ids::RecentIds;
 use crate::call::{ClientCheck, EndpointResponse, Payload, Verdict};
 use crate::invariant::check_invariant;
+use crate::recent_ids::RecentIds;
 use actix_http::header::HeaderValue;
 use olivecart_decisions::RequestId;
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -39,6 +39,7 @@
     in_flight: u32,
     client: ClientCheck,
     is_repeatable: bool,
+    may_have_run: bool,
 }
 
 /// The id of a request, and whether the request is safe to repeat.
@@ -49,6 +50,15 @@
     pub is_repeatable: bool,
 }
 
+/// Whether an attempt may have been executed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Execution {
+    /// Its endpoint has surely not executed it.
+    Never,
+    /// It may have been executed, or may yet be.
+    Possible,
+}
+
 /// All requests. An entry is kept until the request has a verdict and none of its attempts is in flight.
 #[derive(Default)]
 pub struct RequestTable {
@@ -95,6 +105,7 @@
             in_flight: 0,
             client,
             is_repeatable,
+            may_have_run: false,
         };
         self.entries.borrow_mut().insert(request, entry);
         Some((request, verdict))
@@ -112,7 +123,8 @@
         if entry.verdict.is_none() {
             return (Err(number), is_only);
         }
-        let (payload, deadline, is_repeatable) = (entry.payload.clone(), entry.deadline, entry.is_repeatable);
+        let Entry { deadline, is_repeatable, .. } = *entry;
+        let payload = entry.payload.clone();
         if !is_repeatable {
             self.recent_ids.on_attempt(&entry.id, Instant::now());
         }
@@ -137,11 +149,17 @@
 
     /// Records the end of an attempt, with its response if there is one for the client. Returns whether the
     /// request has ended.
-    pub fn attempt_ended(&self, request: RequestId, response: Option<EndpointResponse>) -> bool {
+    pub fn attempt_ended(
+        &self,
+        request: RequestId,
+        execution: Execution,
+        response: Option<EndpointResponse>,
+    ) -> bool {
         let mut entries = self.entries.borrow_mut();
         let Some(entry) = entries.get_mut(&request) else { return true };
         check_invariant(entry.in_flight > 0, "each attempt ends only once");
         entry.in_flight = entry.in_flight.saturating_sub(1);
+        entry.may_have_run |= execution == Execution::Possible;
         drop(entries);
         match response {
             Some(response) => _ = self.finish(request, Verdict::Served(response)),
@@ -168,9 +186,11 @@
     }
 
     fn remove_if_done(&self, request: RequestId) {
+        let is_done = |entry: &mut Entry| entry.verdict.is_none() && entry.in_flight == 0;
         let mut entries = self.entries.borrow_mut();
-        if entries.get(&request).is_some_and(|entry| entry.verdict.is_none() && entry.in_flight == 0) {
-            entries.remove(&request);
+        let done = entries.get_mut(&request).is_some_and(is_done).then(|| entries.remove(&request)).flatten();
+        if let Some(entry) = done.filter(|entry| !entry.may_have_run) {
+            self.recent_ids.on_never_executed(&entry.id, Instant::now());
         }
     }
 }
--- a/crates/proxy/tests/departed_clients.rs
+++ b/crates/proxy/tests/departed_clients.rs
@@ -4,7 +4,7 @@
 mod scenario;
 mod site;
 use load::{Ending, Exchange, LoadClient};
-use scenario::{Message, STEP_TIMEOUT, play, read_message, serve};
+use scenario::{Message, SETTINGS, STEP_TIMEOUT, play, play_with, read_message, serve};
 use site::{Site, generous_settings};
 use std::io::{BufReader, Write};
 use std::net::TcpStream;
@@ -29,6 +29,19 @@
     );
 }
 
+/// Guards against a retry with the same id that is rejected although nothing was executed.
+#[test]
+fn id_of_a_request_that_was_never_executed_may_come_again() {
+    play_with(
+        &["x"],
+        SETTINGS,
+        "c send POST /api X-Request-Id=again X-Class=book Idempotency-Key=k X-Deadline=900m | body
+         c expect 503
+         c send POST /api X-Request-Id=again X-Class=book Idempotency-Key=k X-Deadline=900m | body
+         c expect 503",
+    );
+}
+
 /// Guards against a booking that runs in both processes of an upgrade.
 #[test]
 fn id_that_one_process_of_an_upgrade_has_executed_is_not_executed_by_the_other() {
